--- /dev/null
+++ b/core/toucanrank/rank_test.go
@@ -0,0 +1,55 @@
+package toucanrank_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"toucanstair.example/core/toucanrank"
+)
+
+// Guards against a membership change moving keys between nodes that stay.
+func TestRankIsStableUnderRemoval(t *testing.T) {
+	nodes := []string{"a", "b", "c", "d", "e"}
+	var r toucanrank.Ranker
+	for i := range 200 {
+		key := fmt.Sprint("replica-", i)
+		full := r.Rank(key, nodes)
+		less := r.Rank(key, []string{"a", "b", "d", "e"})
+		var want []string
+		for _, n := range full {
+			if n != "c" {
+				want = append(want, n)
+			}
+		}
+		require.Equal(t, want, less)
+	}
+}
+
+// Guards against a skewed spread, which would give one host most slots.
+func TestRankSpreadsKeys(t *testing.T) {
+	count := map[string]int{}
+	var r toucanrank.Ranker
+	for i := range 3000 {
+		count[r.Rank(fmt.Sprint(i), []string{"a", "b", "c"})[0]]++
+	}
+	for n, c := range count {
+		require.InDelta(t, 1000, c, 150, "node %s", n)
+	}
+}
+
+// Guards against shares of traffic that differ from the configured share.
+func TestUnitIsUniform(t *testing.T) {
+	below := 0
+	r := toucanrank.Ranker{Seed: "move"}
+	for i := range 10000 {
+		u := r.Unit(fmt.Sprint(i))
+		require.GreaterOrEqual(t, u, 0.0)
+		require.Less(t, u, 1.0)
+		if u < 0.05 {
+			below++
+		}
+	}
+	require.InDelta(t, 500, below, 100)
+}
--- /dev/null
+++ b/core/toucanservice/service.go
@@ -0,0 +1,5 @@
+// Package toucanservice names services.
+package toucanservice
+
+// Name identifies a service.
+type Name string
--- /dev/null
+++ b/core/toucanzone/zone.go
@@ -0,0 +1,5 @@
+// Package toucanzone names availability zones.
+package toucanzone
+
+// Name identifies an availability zone.
+type Name string
--- /dev/null
+++ b/toucanctl/main.go
@@ -0,0 +1,6 @@
+// Command toucanctl is the operators' tool.
+package main
+
+import _ "toucanstair.example/core/toucanfault"
+
+func main() {}
--- /dev/null
+++ b/toucanload/main.go
@@ -0,0 +1,6 @@
+// Command toucanload drives load and measures.
+package main
+
+import _ "toucanstair.example/core/toucanfault"
+
+func main() {}
--- /dev/null
+++ b/toucanstair/toucancatalog/catalog.go
@@ -0,0 +1,141 @@
+// Package toucancatalog indexes the effective configuration for look-ups on
+// the request path.
+package toucancatalog
+
+import (
+	"slices"
+
+	"toucanstair.example/core/toucanpb"
+	"toucanstair.example/core/toucanreplica"
+	"toucanstair.example/core/toucanservice"
+	"toucanstair.example/core/toucanshard"
+	"toucanstair.example/core/toucanzone"
+)
+
+// Catalog is an immutable index over one revision of the configuration. The
+// zero value is an empty configuration of revision 0.
+type Catalog struct {
+	rules    *toucanpb.Rules
+	services map[toucanservice.Name]*entry
+	replicas map[toucanreplica.ID]located
+	zones    map[toucanzone.Name]*toucanpb.Zone
+	moves    map[toucanservice.Name]*toucanpb.Move
+}
+
+type entry struct {
+	service *toucanpb.Service
+	routes  map[string]*toucanpb.Route
+	cells   map[place][]*toucanpb.Replica
+	holders map[toucanshard.ID][]toucanzone.Name
+}
+
+type place struct {
+	shard toucanshard.ID
+	zone  toucanzone.Name
+}
+
+type located struct {
+	replica *toucanpb.Replica
+	service *toucanpb.Service
+}
+
+// New indexes rules, which must not be changed afterwards.
+func New(rules *toucanpb.Rules) *Catalog {
+	c := &Catalog{
+		rules:    rules,
+		services: make(map[toucanservice.Name]*entry, len(rules.GetServices())),
+		replicas: make(map[toucanreplica.ID]located),
+		zones:    make(map[toucanzone.Name]*toucanpb.Zone, len(rules.GetZones())),
+		moves:    make(map[toucanservice.Name]*toucanpb.Move, len(rules.GetMoves())),
+	}
+	for _, z := range rules.GetZones() {
+		c.zones[toucanzone.Name(z.GetName())] = z
+	}
+	for _, m := range rules.GetMoves() {
+		c.moves[toucanservice.Name(m.GetService())] = m
+	}
+	for _, s := range rules.GetServices() {
+		c.services[toucanservice.Name(s.GetName())] = c.index(s)
+	}
+	return c
+}
+
+func (c *Catalog) index(s *toucanpb.Service) *entry {
+	e := &entry{
+		service: s,
+		routes:  make(map[string]*toucanpb.Route, len(s.GetRoutes())),
+		cells:   make(map[place][]*toucanpb.Replica),
+		holders: make(map[toucanshard.ID][]toucanzone.Name),
+	}
+	for _, r := range s.GetRoutes() {
+		e.routes[r.GetName()] = r
+	}
+	for _, r := range s.GetReplicas() {
+		shard, zone := toucanshard.ID(r.GetShard()), toucanzone.Name(r.GetZone())
+		p := place{shard, zone}
+		e.cells[p] = append(e.cells[p], r)
+		if !slices.Contains(e.holders[shard], zone) {
+			e.holders[shard] = append(e.holders[shard], zone)
+		}
+		c.replicas[toucanreplica.ID(r.GetId())] = located{r, s}
+	}
+	return e
+}
+
+// Rules returns the configuration behind the index.
+func (c *Catalog) Rules() *toucanpb.Rules { return c.rules }
+
+// Revision returns the revision of the configuration.
+func (c *Catalog) Revision() uint64 { return c.rules.GetRevision() }
+
+// Service returns the service of that name, or nil.
+func (c *Catalog) Service(name toucanservice.Name) *toucanpb.Service {
+	if e := c.services[name]; e != nil {
+		return e.service
+	}
+	return nil
+}
+
+// Route returns a route of a service, or nil.
+func (c *Catalog) Route(service toucanservice.Name, route string) *toucanpb.Route {
+	if e := c.services[service]; e != nil {
+		return e.routes[route]
+	}
+	return nil
+}
+
+// Replicas returns the replicas of a shard in a zone; the caller must not
+// change the slice.
+func (c *Catalog) Replicas(service toucanservice.Name, shard toucanshard.ID, zone toucanzone.Name) []*toucanpb.Replica {
+	if e := c.services[service]; e != nil {
+		return e.cells[place{shard, zone}]
+	}
+	return nil
+}
+
+// Holders returns the zones that hold replicas of a shard; the caller must
+// not change the slice.
+func (c *Catalog) Holders(service toucanservice.Name, shard toucanshard.ID) []toucanzone.Name {
+	if e := c.services[service]; e != nil {
+		return e.holders[shard]
+	}
+	return nil
+}
+
+// Replica returns a replica and its service, or nils.
+func (c *Catalog) Replica(id toucanreplica.ID) (*toucanpb.Replica, *toucanpb.Service) {
+	l := c.replicas[id]
+	return l.replica, l.service
+}
+
+// Zones returns all zones.
+func (c *Catalog) Zones() []*toucanpb.Zone { return c.rules.GetZones() }
+
+// Zone returns the zone of that name, or nil.
+func (c *Catalog) Zone(name toucanzone.Name) *toucanpb.Zone { return c.zones[name] }
+
+// Out reports whether a zone is out of service.
+func (c *Catalog) Out(name toucanzone.Name) bool { return c.zones[name].GetOut() }
+
+// Move returns the move of a service to a new version, or nil.
+func (c *Catalog) Move(service toucanservice.Name) *toucanpb.Move { return c.moves[service] }
