--- /dev/null
+++ b/toucanstair/toucansnapshot/inventory_test.go
@@ -0,0 +1,231 @@
+package toucansnapshot_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"toucanstair.example/core/toucanfault"
+	"toucanstair.example/core/toucanpb"
+	"toucanstair.example/core/toucanreplica"
+	"toucanstair.example/core/toucanzone"
+	"toucanstair.example/toucanstair/toucancatalog"
+	"toucanstair.example/toucanstair/toucansnapshot"
+)
+
+// host is one inventory with its configuration and identity.
+type host struct {
+	*toucansnapshot.Inventory
+	catalog *toucancatalog.Catalog
+	self    *toucanpb.Member
+}
+
+func (h *host) Catalog() *toucancatalog.Catalog { return h.catalog }
+func (h *host) Self() *toucanpb.Member          { return h.self }
+
+// Replica "<zone><n>" holds shard n; every zone holds every shard, but for
+// shard 3, which lives in costa only.
+func catalog(out ...string) *toucancatalog.Catalog {
+	s := &toucanpb.Service{Name: "letters", Shards: 4, Age: 2}
+	r := &toucanpb.Rules{Revision: 1, Services: []*toucanpb.Service{s}}
+	for _, z := range []string{"sierra", "costa", "oriente"} {
+		zone := &toucanpb.Zone{Name: z}
+		for _, o := range out {
+			zone.Out = zone.Out || o == z
+		}
+		r.Zones = append(r.Zones, zone)
+		for n := range uint32(4) {
+			if n < 3 || z == "costa" {
+				s.Replicas = append(s.Replicas, &toucanpb.Replica{Id: fmt.Sprint(z, n), Shard: n, Zone: z})
+			}
+		}
+	}
+	return toucancatalog.New(r)
+}
+
+func start(id, zone string) *host {
+	h := &host{catalog: catalog(), self: &toucanpb.Member{Id: id, Zone: zone}}
+	h.Inventory = toucansnapshot.New(h, h)
+	return h
+}
+
+func (h *host) serve(indexes []uint64, replicas ...toucanreplica.ID) {
+	for _, r := range replicas {
+		h.Record(r, indexes)
+	}
+}
+
+func beat(from, to *host) *toucanpb.Gossip {
+	g := &toucanpb.Gossip{}
+	from.Offer(to.self, g)
+	to.Accept(from.self, g)
+	return g
+}
+
+func requirePin(t *testing.T, h *host, want uint64) {
+	t.Helper()
+	got, err := h.Pin("letters", h.catalog)
+	require.NoError(t, err)
+	require.Equal(t, want, got)
+}
+
+// Guards against a version that covers fewer shards, is older than needed, is
+// too old, or is served in a zone out of service only.
+func TestPinSelectsCoverageThenNewestWithinAge(t *testing.T) {
+	h := start("a/1", "sierra")
+	_, err := h.Pin("letters", h.catalog)
+	require.Equal(t, toucanpb.Code_CODE_VERSION, toucanfault.As(err).Code)
+
+	h.serve([]uint64{5}, "sierra0", "sierra1")
+	h.serve([]uint64{5, 6}, "sierra2")
+	requirePin(t, h, 5)
+	h.serve([]uint64{5, 6}, "sierra0", "sierra1")
+	requirePin(t, h, 6)
+	h.serve([]uint64{8}, "sierra0")
+	requirePin(t, h, 6)
+	h.serve([]uint64{9}, "sierra0")
+	requirePin(t, h, 9)
+
+	other := start("b/1", "costa")
+	other.serve([]uint64{8}, "costa0", "costa1", "costa2", "costa3")
+	beat(other, h)
+	requirePin(t, h, 8)
+	require.Equal(t, map[toucanzone.Name][]byte{"costa": {0b1111}}, h.Serves("letters", h.catalog, 8))
+	h.catalog = catalog("costa")
+	requirePin(t, h, 9)
+}
+
+// Guards against records and entries of sources that are gone hiding what is
+// served now, and against a host that is cut off losing all it knew.
+func TestEntriesExpireUnlessNothingNewerIsKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, peer := start("a/1", "sierra"), start("b/1", "sierra")
+		peer.serve([]uint64{7}, "sierra0", "sierra1")
+		beat(peer, h)
+		requirePin(t, h, 7)
+		<-time.After(11 * time.Second)
+		requirePin(t, h, 7)
+		h.serve([]uint64{6}, "sierra0", "sierra1")
+		requirePin(t, h, 6)
+
+		// A record that is not refreshed is dropped and its removal offered.
+		peer.serve([]uint64{7}, "sierra0", "sierra1")
+		beat(peer, h)
+		requirePin(t, h, 7)
+		<-time.After(9 * time.Second)
+		peer.serve([]uint64{7}, "sierra0")
+		<-time.After(2 * time.Second)
+		beat(peer, h)
+		require.Equal(t, map[toucanzone.Name][]byte{"sierra": {0b0001}}, h.Serves("letters", h.catalog, 7))
+	})
+}
+
+// Guards against heartbeats that repeat everything, that never repair a lost
+// one, and against knowledge that does not pass through a third host.
+func TestOfferSendsChangesAndEverythingEveryTenth(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, near, far := start("a/1", "sierra"), start("b/1", "sierra"), start("c/1", "costa")
+		h.serve([]uint64{7}, "sierra0")
+		var sizes []int
+		for range 11 {
+			g := &toucanpb.Gossip{}
+			h.Offer(near.self, g)
+			sizes = append(sizes, len(g.Served))
+		}
+		require.Equal(t, []int{1, 0, 0, 0, 0, 0, 0, 0, 0, 0, 1}, sizes)
+
+		h.serve([]uint64{7, 8}, "sierra0")
+		require.Len(t, beat(h, near).Served, 1)
+		beat(h, near)
+		g := beat(near, far)
+		require.Len(t, g.Served, 1, "only the summary goes to another zone")
+		require.Equal(t, "zone/sierra", g.Served[0].Source)
+		require.Equal(t, uint64(8), g.Served[0].Index)
+		requirePin(t, far, 8)
+
+		// A third host of costa learns sierra's summary from far.
+		third := start("d/1", "costa")
+		beat(far, third)
+		requirePin(t, third, 8)
+	})
+}
+
+// Guards against a dead source that two hosts keep alive by telling each other.
+func TestRelaysDoNotKeepDeadSourceAlive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dead := start("x/1", "sierra")
+		hosts := []*host{start("a/1", "sierra"), start("b/1", "sierra"), start("c/1", "sierra")}
+		dead.serve([]uint64{9}, "sierra0", "sierra1")
+		beat(dead, hosts[0])
+		for range 60 {
+			for _, from := range hosts {
+				from.serve([]uint64{7}, "sierra2")
+				for _, to := range hosts {
+					if from != to {
+						beat(from, to)
+					}
+				}
+			}
+			<-time.After(500 * time.Millisecond)
+		}
+		for _, h := range hosts {
+			h.serve([]uint64{8}, "sierra0", "sierra1")
+			requirePin(t, h, 8)
+		}
+	})
+}
+
+// Guards against a summary refused for ever after the host with the fastest
+// clock of that zone is gone.
+func TestSummaryFromSlowerClockIsTakenAfterExpiry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := start("a/1", "sierra")
+		costa := &toucanpb.Member{Id: "b/1", Zone: "costa"}
+		summary := func(sequence uint64, index uint64, shards byte) *toucanpb.Gossip {
+			return &toucanpb.Gossip{Served: []*toucanpb.Served{{
+				Source: "zone/costa", Sequence: sequence, Service: "letters", Index: index, Shards: []byte{shards},
+			}}}
+		}
+		h.Accept(costa, summary(1000, 7, 0b0001))
+		h.Accept(costa, summary(900, 7, 0b1111))
+		require.Equal(t, []byte{0b0001}, h.Serves("letters", h.catalog, 7)["costa"])
+		<-time.After(11 * time.Second)
+		h.Accept(costa, summary(900, 7, 0b1111))
+		require.Equal(t, []byte{0b1111}, h.Serves("letters", h.catalog, 7)["costa"])
+	})
+}
+
+// BenchmarkOfferDesignSize reports the bytes of a heartbeat that carries every
+// entry and of the average one, with 103 hosts and 2 versions of 180 shards.
+func BenchmarkOfferDesignSize(b *testing.B) {
+	s := &toucanpb.Service{Name: "letters", Shards: 180}
+	c := toucancatalog.New(&toucanpb.Rules{Revision: 1, Services: []*toucanpb.Service{s}})
+	h := start("a/1", "sierra")
+	h.catalog = c
+	for n := range 103 {
+		from := &toucanpb.Member{Id: fmt.Sprintf("host-%d/0123456789abcdef", n), Zone: "sierra"}
+		g := &toucanpb.Gossip{}
+		for index := range uint64(2) {
+			g.Served = append(g.Served, &toucanpb.Served{
+				Source: from.Id, Sequence: 1 << 40, Service: "letters", Index: 100 + index, Shards: make([]byte, 23),
+			})
+		}
+		g.Served[0].Shards[n%23] = 0xff
+		g.Served[1].Shards[n%23] = 0xff
+		h.Accept(from, g)
+	}
+	to := &toucanpb.Member{Id: "z/1", Zone: "sierra"}
+	largest, sum, beats := 0, 0, 0
+	for b.Loop() {
+		g := &toucanpb.Gossip{}
+		h.Offer(to, g)
+		n := proto.Size(g)
+		largest, sum, beats = max(largest, n), sum+n, beats+1
+	}
+	b.ReportMetric(float64(largest), "B/full")
+	b.ReportMetric(float64(sum)/float64(beats), "B/beat")
+}
