--- /dev/null
+++ b/toucanstair/toucanquery/leg.go
@@ -0,0 +1,210 @@
+package toucanquery
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"go.opentelemetry.io/otel/propagation"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"toucanstair.example/core/toucanfault"
+	"toucanstair.example/core/toucanpb"
+	"toucanstair.example/core/toucanreplica"
+	"toucanstair.example/core/toucanshard"
+	"toucanstair.example/core/toucanzone"
+)
+
+// maxContacts bounds the hosts of a zone that are tried for one leg.
+const maxContacts = 3
+
+// zones returns the zones to ask for a shard, best first: those known to serve
+// it at the pinned version, among them the own zone; then the other holders. The
+// code says why there is none.
+func (c *Coordinator) zones(t *task, shard toucanshard.ID, serves map[toucanzone.Name][]byte) ([]toucanzone.Name, toucanpb.Code) {
+	holders := t.catalog.Holders(t.service, shard)
+	if len(holders) == 0 {
+		return nil, toucanpb.Code_CODE_VERSION
+	}
+	out := make([]toucanzone.Name, 0, len(holders))
+	add := func(served, own bool) {
+		for _, z := range holders {
+			if !t.catalog.Out(z) && has(serves[z], shard) == served && (z == c.Zone) == own {
+				out = append(out, z)
+			}
+		}
+	}
+	add(true, true)
+	add(true, false)
+	add(false, true)
+	add(false, false)
+	if len(out) == 0 {
+		return nil, toucanpb.Code_CODE_OUT
+	}
+	return out, toucanpb.Code_CODE_UNSPECIFIED
+}
+
+func has(bitmap []byte, s toucanshard.ID) bool {
+	return int(s/8) < len(bitmap) && bitmap[s/8]&(1<<(s%8)) != 0
+}
+
+// runShard runs the leg of a shard in the first zone and, when that zone could
+// not be reached or had nowhere to run it, once in the next one.
+func (c *Coordinator) runShard(ctx context.Context, t *task, shard toucanshard.ID, index uint64, zones []toucanzone.Name) ending {
+	var e ending
+	for n, z := range zones[:min(len(zones), 2)] {
+		leg := t.leg(shard, index)
+		leg.Extra = n > 0
+		result := c.runZone(ctx, z, leg)
+		e = ending{shard: shard, code: verify(leg, result), result: result}
+		if !moves(e.code, result) || ctx.Err() != nil {
+			break
+		}
+	}
+	return e
+}
+
+// moves reports whether a leg may be tried in another zone. Overload and
+// refusals by targets are not: they would move the load of one zone to the next.
+func moves(code toucanpb.Code, r *toucanpb.LegResult) bool {
+	if code == toucanpb.Code_CODE_CUT || code == toucanpb.Code_CODE_DOWN {
+		return true
+	}
+	if r.GetOutcome() != toucanpb.Outcome_OUTCOME_NOTRUN {
+		return false
+	}
+	switch code {
+	case toucanpb.Code_CODE_OUT, toucanpb.Code_CODE_LEASE, toucanpb.Code_CODE_STOPPING,
+		toucanpb.Code_CODE_VERSION:
+		return true
+	}
+	return false
+}
+
+func (t *task) leg(shard toucanshard.ID, index uint64) *toucanpb.Leg {
+	return &toucanpb.Leg{
+		QueryId:     t.request,
+		Service:     t.query.GetService(),
+		Shard:       uint32(shard),
+		Route:       t.query.GetRoute(),
+		Query:       []byte(t.query.GetQuery()),
+		Limit:       t.limit,
+		Index:       index,
+		Map:         t.catalog.Revision(),
+		Version:     t.label,
+		Traceparent: t.trace,
+		TimeoutUs:   uint64(max(time.Until(t.leave).Microseconds(), 0)),
+		Key:         t.query.GetKey(),
+		Once:        t.once,
+	}
+}
+
+// runZone runs a leg in a zone and reports it to the judge. It returns a result
+// in every case.
+func (c *Coordinator) runZone(ctx context.Context, z toucanzone.Name, leg *toucanpb.Leg) (result *toucanpb.LegResult) {
+	if c.Drainer != nil {
+		if !c.Drainer.BeginLeg() {
+			return refusal(leg, toucanfault.NotRun(toucanpb.Code_CODE_STOPPING, "the host is stopping"))
+		}
+		defer c.Drainer.EndLeg()
+	}
+	start := time.Now()
+	defer func() {
+		if p := recover(); p != nil {
+			c.log().Error("leg panicked", zap.String("request", leg.GetQueryId()), zap.Any("panic", p), zap.Stack("stack"))
+			result = refusal(leg, toucanfault.Unknown(toucanpb.Code_CODE_INTERNAL, fmt.Sprint("panic: ", p)))
+		}
+		if result == nil {
+			result = refusal(leg, toucanfault.Unknown(toucanpb.Code_CODE_INTERNAL, "no result"))
+		}
+		c.observe(leg, result, time.Since(start))
+	}()
+	if z == c.Zone {
+		return c.Cell.Run(ctx, leg)
+	}
+	return c.runRemote(ctx, z, leg)
+}
+
+// runRemote asks the zone's contacts in turn. The next one is asked only if the
+// leg did not run at the one before, or if that one was lost and the leg is
+// idempotent; the repeat is then marked extra, so that the zone's budget for
+// hedges and retries bounds it.
+func (c *Coordinator) runRemote(ctx context.Context, z toucanzone.Name, leg *toucanpb.Leg) *toucanpb.LegResult {
+	hosts := c.Contacts.Contacts(z)
+	if leg.GetOnce() {
+		hosts = hosts[:min(len(hosts), 1)]
+	}
+	last := toucanfault.NotRun(toucanpb.Code_CODE_CUT, "no host of zone "+string(z)+" is known")
+	lost := false
+	for _, m := range hosts[:min(len(hosts), maxContacts)] {
+		result, err := c.Link.Do(ctx, m.GetAddress(), leg)
+		if err == nil {
+			if leg.GetOnce() || ctx.Err() != nil || !cannotServe(result.GetOutcome(), result.GetCode()) {
+				return result
+			}
+			last = toucanfault.NotRun(result.GetCode(), result.GetDetail())
+			continue
+		}
+		if last = toucanfault.As(err); last == nil {
+			last = toucanfault.Unknown(toucanpb.Code_CODE_DOWN, "link failed").Because(err)
+		}
+		if leg.GetOnce() || ctx.Err() != nil {
+			return refusal(leg, last)
+		}
+		down := last.Code == toucanpb.Code_CODE_DOWN
+		switch {
+		case cannotServe(last.Outcome, last.Code):
+		case down && last.Outcome == toucanpb.Outcome_OUTCOME_NOTRUN:
+		case down && !lost:
+			lost = true
+			leg = proto.CloneOf(leg)
+			leg.Extra = true
+		default:
+			return refusal(leg, last)
+		}
+	}
+	cut := &toucanfault.Error{Code: toucanpb.Code_CODE_CUT, Outcome: toucanpb.Outcome_OUTCOME_NOTRUN, Detail: "zone " + string(z), Cause: last}
+	if lost {
+		cut.Outcome = toucanpb.Outcome_OUTCOME_UNKNOWN
+	}
+	return refusal(leg, cut)
+}
+
+// cannotServe reports whether a host itself, and not the targets behind it,
+// turned the leg away.
+func cannotServe(o toucanpb.Outcome, code toucanpb.Code) bool {
+	return o == toucanpb.Outcome_OUTCOME_NOTRUN &&
+		(code == toucanpb.Code_CODE_LEASE || code == toucanpb.Code_CODE_STOPPING)
+}
+
+// refusal turns a failure into a leg's result.
+func refusal(leg *toucanpb.Leg, f *toucanfault.Error) *toucanpb.LegResult {
+	outcome := f.Outcome
+	if outcome == toucanpb.Outcome_OUTCOME_UNSPECIFIED || outcome == toucanpb.Outcome_OUTCOME_DONE {
+		outcome = toucanpb.Outcome_OUTCOME_UNKNOWN
+	}
+	return &toucanpb.LegResult{Shard: leg.GetShard(), Index: leg.GetIndex(), Outcome: outcome, Code: f.Code, Detail: f.Error()}
+}
+
+// observe reports a leg to the judge, under the version of the replica that
+// served it if that is known.
+func (c *Coordinator) observe(leg *toucanpb.Leg, r *toucanpb.LegResult, took time.Duration) {
+	if c.Judge == nil {
+		return
+	}
+	version := leg.GetVersion()
+	if catalog := c.Keeper.Catalog(); catalog != nil && r.GetReplica() != "" {
+		if replica, _ := catalog.Replica(toucanreplica.ID(r.GetReplica())); replica != nil {
+			version = replica.GetVersion()
+		}
+	}
+	c.Judge.Observe(serviceOf(leg), version, leg.GetRoute(), verify(leg, r), took)
+}
+
+// traceparent returns the W3C trace context of ctx, "" when it has none.
+func traceparent(ctx context.Context) string {
+	carrier := propagation.MapCarrier{}
+	propagation.TraceContext{}.Inject(ctx, carrier)
+	return carrier["traceparent"]
+}
