--- /dev/null
+++ b/toucanstair/toucanops/ops.go
@@ -0,0 +1,193 @@
+// Package toucanops is the operators' HTTP listener.
+package toucanops
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/pprof"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"toucanstair.example/core/toucanpb"
+	"toucanstair.example/core/toucanzone"
+	"toucanstair.example/toucanstair/toucancatalog"
+)
+
+const (
+	headerTimeout = 2 * time.Second
+	readTimeout   = 5 * time.Second
+	// writeTimeout leaves time for a CPU profile of 30 s.
+	writeTimeout = 90 * time.Second
+	maxHeader    = 16 << 10 // bytes
+)
+
+type keeper interface {
+	Catalog() *toucancatalog.Catalog
+}
+
+type member interface {
+	Self() *toucanpb.Member
+	LeaseHeld() bool
+}
+
+type drainer interface {
+	Stopping() bool
+	Phase() string
+	Queries() int64
+	Legs() int64
+}
+
+// part gives one field of the state page; the result is encoded as JSON.
+type part interface {
+	State() any
+}
+
+// Server serves operators. Its fields are set before use and not changed; the
+// host is not ready without a Keeper and a Member.
+type Server struct {
+	Zone    toucanzone.Name
+	Keeper  keeper
+	Member  member
+	Drainer drainer              // may be nil
+	Age     func() time.Duration // since the configuration was last confirmed as newest; may be nil
+	Pprof   bool                 // serve /debug/pprof
+	Log     *zap.Logger
+
+	parts map[string]part
+}
+
+// Add puts a part on the state page under a name, before Serve is called.
+func (s *Server) Add(name string, p part) {
+	if s.parts == nil {
+		s.parts = make(map[string]part)
+	}
+	s.parts[name] = p
+}
+
+// Serve accepts operators on l until ctx ends, and then reports on the channel
+// why it ended; nil at the end of ctx.
+func (s *Server) Serve(ctx context.Context, l net.Listener) <-chan error {
+	h := &http.Server{
+		Handler:           s.Handler(),
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       readTimeout,
+		WriteTimeout:      writeTimeout,
+		MaxHeaderBytes:    maxHeader,
+		ErrorLog:          zap.NewStdLog(s.log()),
+	}
+	end := make(chan error, 1)
+	stop := context.AfterFunc(ctx, func() { h.Close() })
+	go func() {
+		defer stop()
+		err := h.Serve(l)
+		if errors.Is(err, http.ErrServerClosed) {
+			err = nil
+		}
+		end <- err
+	}()
+	return end
+}
+
+// Handler returns the handler of all paths.
+func (s *Server) Handler() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) {
+		s.write(w, http.StatusOK, map[string]any{"live": true})
+	})
+	m.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
+		why := s.why()
+		status := http.StatusOK
+		if len(why) > 0 {
+			status = http.StatusServiceUnavailable
+		}
+		s.write(w, status, map[string]any{"ready": len(why) == 0, "why": why})
+	})
+	m.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		metrics.WritePrometheus(w, true)
+	})
+	m.HandleFunc("GET /state", func(w http.ResponseWriter, _ *http.Request) {
+		s.write(w, http.StatusOK, s.state())
+	})
+	if s.Pprof {
+		m.HandleFunc("/debug/pprof/", pprof.Index)
+		m.HandleFunc("/debug/pprof/cmdline", pprof.Cmdline)
+		m.HandleFunc("/debug/pprof/profile", pprof.Profile)
+		m.HandleFunc("/debug/pprof/symbol", pprof.Symbol)
+		m.HandleFunc("/debug/pprof/trace", pprof.Trace)
+	}
+	return m
+}
+
+// why returns the reasons for which the host is not ready; none when it is.
+func (s *Server) why() []string {
+	out := []string{}
+	c := s.catalog()
+	if c == nil {
+		out = append(out, "no configuration is in effect")
+	} else if c.Out(s.Zone) {
+		out = append(out, "zone "+string(s.Zone)+" is out of service")
+	}
+	if s.Member == nil || !s.Member.LeaseHeld() {
+		out = append(out, "the host holds no lease")
+	}
+	if s.Drainer != nil && s.Drainer.Stopping() {
+		out = append(out, "the host is stopping")
+	}
+	return out
+}
+
+func (s *Server) state() map[string]any {
+	out := map[string]any{"zone": s.Zone, "revision": uint64(0), "age": nil, "host": "", "lease": false}
+	if c := s.catalog(); c != nil {
+		out["revision"] = c.Revision()
+		if s.Age != nil {
+			out["age"] = s.Age().Seconds()
+		}
+	}
+	if s.Member != nil {
+		out["host"] = s.Member.Self().GetId()
+		out["lease"] = s.Member.LeaseHeld()
+	}
+	if s.Drainer != nil {
+		out["phase"] = s.Drainer.Phase()
+		out["queries"] = s.Drainer.Queries()
+		out["legs"] = s.Drainer.Legs()
+	}
+	out["why"] = s.why()
+	for name, p := range s.parts {
+		out[name] = p.State()
+	}
+	return out
+}
+
+func (s *Server) catalog() *toucancatalog.Catalog {
+	if s.Keeper == nil {
+		return nil
+	}
+	return s.Keeper.Catalog()
+}
+
+func (s *Server) write(w http.ResponseWriter, status int, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		s.log().Error("encoding a page", zap.Error(err))
+		http.Error(w, "the page cannot be encoded: "+err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(append(body, '\n')) // an operator that is gone has no other channel
+}
+
+func (s *Server) log() *zap.Logger {
+	if s.Log == nil {
+		return zap.NewNop()
+	}
+	return s.Log
+}
