Add the command with flags, logs, traces and the graceful stop

The process opens its three listeners, reports their addresses and ends on a signal. Configuration, peers and targets are not connected yet, so it is not ready and refuses queries as not run.

--- a/toucanstair/main.go
+++ b/toucanstair/main.go
@@ -1,6 +1,12 @@
 // Command toucanstair is the entry host of the query tier.
 package main
 
-import _ "toucanstair.example/core/toucanfault"
+import (
+	"os"
 
-func main() {}
+	"toucanstair.example/toucanstair/toucancommand"
+)
+
+func main() {
+	os.Exit(toucancommand.Command{Out: os.Stdout, Err: os.Stderr}.Run(os.Args[1:]))
+}
--- /dev/null
+++ b/toucanstair/toucancommand/process.go
@@ -0,0 +1,141 @@
+package toucancommand
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"os"
+
+	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/trace"
+	"go.uber.org/zap"
+
+	"toucanstair.example/core/toucanzone"
+	"toucanstair.example/toucanstair/toucandrain"
+	"toucanstair.example/toucanstair/toucanfrontend"
+	"toucanstair.example/toucanstair/toucanops"
+)
+
+// process holds the parts of a running host. Parts that are added need the
+// configuration, the zone view and the peers; until then the host is not ready
+// and refuses queries.
+type process struct {
+	settings *Settings
+	log      *zap.Logger
+	tracer   trace.Tracer
+
+	callers, peers, ops net.Listener
+
+	drainer  *toucandrain.Drainer
+	frontend *toucanfrontend.Frontend
+	server   *toucanops.Server
+}
+
+// addresses is the line that --report prints.
+type addresses struct {
+	Name    string `json:"name"`
+	Zone    string `json:"zone"`
+	Callers string `json:"callers"`
+	Peers   string `json:"peers"`
+	Ops     string `json:"ops"`
+}
+
+// open makes the parts and opens the listeners; nothing is served yet.
+func open(ctx context.Context, s *Settings, log *zap.Logger, tracers trace.TracerProvider) (*process, error) {
+	zone := toucanzone.Name(s.Zone)
+	p := &process{
+		settings: s,
+		log:      log,
+		tracer:   tracers.Tracer("toucanstair"),
+		drainer:  &toucandrain.Drainer{Linger: s.Linger, Grace: s.Grace, Log: log},
+	}
+	p.frontend = &toucanfrontend.Frontend{Zone: zone, Drainer: p.drainer, Inflight: s.Inflight, Log: log, Tracer: p.tracer}
+	p.server = &toucanops.Server{Zone: zone, Drainer: p.drainer, Pprof: s.Pprof, Log: log}
+	p.drainer.Close = p.frontend.Shutdown
+
+	var config net.ListenConfig
+	for _, l := range []struct {
+		flag, address string
+		to            *net.Listener
+	}{{"callers", s.Callers, &p.callers}, {"peers", s.Peers, &p.peers}, {"ops", s.Ops, &p.ops}} {
+		opened, err := config.Listen(ctx, "tcp", l.address)
+		if err != nil {
+			p.close()
+			return nil, eris.Wrapf(err, "--%s %s", l.flag, l.address)
+		}
+		*l.to = opened
+	}
+	if s.Advertise == "" {
+		s.Advertise = p.peers.Addr().String()
+	}
+	return p, nil
+}
+
+// report prints the actual listening addresses as one JSON line.
+func (p *process) report(out io.Writer) error {
+	return eris.Wrap(json.NewEncoder(out).Encode(addresses{
+		Name:    p.settings.Name,
+		Zone:    p.settings.Zone,
+		Callers: p.callers.Addr().String(),
+		Peers:   p.peers.Addr().String(),
+		Ops:     p.ops.Addr().String(),
+	}), "printing the addresses")
+}
+
+// run serves until a signal comes and the shutdown has ended, or a part fails.
+func (p *process) run(ctx context.Context, signals <-chan os.Signal) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	callers := p.frontend.Serve(ctx, p.callers)
+	ops := p.server.Serve(ctx, p.ops)
+	p.log.Info("serving", zap.String("host", p.settings.Name), zap.String("zone", p.settings.Zone),
+		zap.Stringer("callers", p.callers.Addr()), zap.Stringer("peers", p.peers.Addr()), zap.Stringer("ops", p.ops.Addr()))
+	var err error
+	select {
+	case s := <-signals:
+		p.log.Info("signal", zap.Stringer("signal", s))
+		err = p.drain(ctx, signals)
+	case err = <-callers:
+		err = eris.Wrap(err, "callers' listener")
+		callers = nil
+	case err = <-ops:
+		err = eris.Wrap(err, "operators' listener")
+		ops = nil
+	}
+	cancel()
+	for _, end := range []<-chan error{callers, ops} {
+		if end == nil {
+			continue
+		}
+		if late := <-end; late != nil && err == nil {
+			err = late
+		}
+	}
+	p.close()
+	return err
+}
+
+// drain runs the graceful shutdown; a second signal ends it.
+func (p *process) drain(ctx context.Context, signals <-chan os.Signal) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	end := make(chan error, 1)
+	go func() { end <- p.drainer.Run(ctx) }()
+	select {
+	case err := <-end:
+		return err
+	case s := <-signals:
+		p.log.Warn("second signal", zap.Stringer("signal", s))
+		cancel()
+		return <-end
+	}
+}
+
+func (p *process) close() {
+	for _, l := range []net.Listener{p.callers, p.peers, p.ops} {
+		if l != nil {
+			l.Close()
+		}
+	}
+}
--- /dev/null
+++ b/toucanstair/toucancommand/trace.go
@@ -0,0 +1,48 @@
+package toucancommand
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracegrpc"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+)
+
+// traceFlush bounds the sending of the last spans on shutdown.
+const traceFlush = 2 * time.Second
+
+// tracing returns the tracer provider and the function that sends the last
+// spans. The OTLP exporter takes its endpoint from the standard variables
+// OTEL_EXPORTER_OTLP_*, and the sampler from OTEL_TRACES_SAMPLER.
+func tracing(ctx context.Context, s *Settings, out io.Writer) (trace.TracerProvider, func() error, error) {
+	var exporter sdktrace.SpanExporter
+	var err error
+	switch s.Trace {
+	case "stdout":
+		exporter, err = stdouttrace.New(stdouttrace.WithWriter(out))
+	case "otlp":
+		exporter, err = otlptracegrpc.New(ctx)
+	default:
+		return noop.NewTracerProvider(), func() error { return nil }, nil
+	}
+	if err != nil {
+		return nil, nil, eris.Wrap(err, "starting the trace exporter "+s.Trace)
+	}
+	p := sdktrace.NewTracerProvider(sdktrace.WithBatcher(exporter), sdktrace.WithResource(resource.NewSchemaless(
+		attribute.String("service.name", "toucanstair"),
+		attribute.String("service.instance.id", s.Name),
+		attribute.String("cloud.availability_zone", s.Zone),
+	)))
+	return p, func() error {
+		flush, cancel := context.WithTimeout(context.WithoutCancel(ctx), traceFlush)
+		defer cancel()
+		return p.Shutdown(flush)
+	}, nil
+}
--- a/toucanstair/toucanfrontend/frontend.go
+++ b/toucanstair/toucanfrontend/frontend.go
@@ -93,7 +93,7 @@
 	}
 	f.server.Store(s)
 	end := make(chan error, 1)
-	stop := context.AfterFunc(ctx, func() { s.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
 	go func() {
 		defer stop()
 		err := s.Serve(l)
--- a/toucanstair/toucanops/ops.go
+++ b/toucanstair/toucanops/ops.go
@@ -81,7 +81,7 @@
 		ErrorLog:          zap.NewStdLog(s.log()),
 	}
 	end := make(chan error, 1)
-	stop := context.AfterFunc(ctx, func() { h.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = h.Close() })
 	go func() {
 		defer stop()
 		err := h.Serve(l)
