--- /dev/null
+++ b/toucanstair/toucancell/serve.go
@@ -0,0 +1,169 @@
+package toucancell
+
+import (
+	"context"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"toucanstair.example/core/toucanfault"
+	"toucanstair.example/core/toucanpb"
+	"toucanstair.example/core/toucanreplica"
+	"toucanstair.example/core/toucanservice"
+	"toucanstair.example/core/toucanzone"
+	"toucanstair.example/toucanstair/toucanclaim"
+	"toucanstair.example/toucanstair/toucanexchange"
+)
+
+// refusals counts failed legs by code; the counters are made once, because
+// looking one up by name allocates.
+var refusals = func() []*metrics.Counter {
+	out := make([]*metrics.Counter, len(toucanpb.Code_name))
+	for i := range out {
+		out[i] = metrics.NewCounter(`toucan_cell_failed_total{code="` + toucanfault.CodeWord(toucanpb.Code(i)) + `"}`)
+	}
+	return out
+}()
+
+// Serve runs a leg as owner of a slot of leg.Replica and returns when the
+// exchange with the target has ended.
+func (c *Cell) Serve(ctx context.Context, leg *toucanpb.Leg) *toucanpb.LegResult {
+	res, err := c.serve(ctx, leg)
+	if err != nil {
+		f := faultOf(err)
+		res.Outcome, res.Code, res.Detail, res.Items = f.Outcome, f.Code, f.Error(), nil
+		if int(f.Code) < len(refusals) {
+			refusals[f.Code].Inc()
+		}
+	}
+	id := toucanreplica.ID(leg.GetReplica())
+	res.Queue = uint32(c.Table.Queue(id))
+	res.Draining = c.Table.Draining(id)
+	return res
+}
+
+func (c *Cell) serve(ctx context.Context, leg *toucanpb.Leg) (*toucanpb.LegResult, error) {
+	res := &toucanpb.LegResult{Number: leg.GetNumber(), Shard: leg.GetShard(), Index: leg.GetIndex(), Replica: leg.GetReplica()}
+	replica, service, err := c.admit(leg)
+	if err != nil {
+		return res, err
+	}
+	id := toucanreplica.ID(replica.GetId())
+	ctx, cancel := within(ctx, leg)
+	defer cancel()
+	permit, err := c.Table.Acquire(ctx, id)
+	if err != nil {
+		return res, err
+	}
+	defer permit.Cancel() // no effect after Done
+	claim, err := c.claim(ctx, leg)
+	if err != nil {
+		return res, err
+	}
+	reply, err := c.Exchange.Do(ctx, toucanexchange.Request{
+		Address: replica.GetAddress(), Connections: c.connections(id, service), Leg: leg, May: c.Members.LeaseHeld,
+	})
+	f := toucanfault.As(err)
+	if claim != nil && f != nil && f.Outcome == toucanpb.Outcome_OUTCOME_NOTRUN {
+		c.Claims.Release(claim)
+	}
+	c.note(id, service, replica, leg, reply, f)
+	permit.Done(err == nil, reply.Took)
+	res.Items, res.Indexes = reply.Items, reply.Versions
+	res.ServiceUs = uint64(reply.Took.Microseconds())
+	if reply.Sent {
+		res.Sent = 1
+	}
+	res.Outcome = toucanpb.Outcome_OUTCOME_DONE
+	return res, err
+}
+
+// admit checks what needs no slot.
+func (c *Cell) admit(leg *toucanpb.Leg) (*toucanpb.Replica, *toucanpb.Service, error) {
+	catalog := c.Configuration.Catalog()
+	if catalog == nil {
+		return nil, nil, toucanfault.NotRun(toucanpb.Code_CODE_CONFIG, "no configuration in effect")
+	}
+	if catalog.Out(c.Zone) {
+		return nil, nil, toucanfault.NotRun(toucanpb.Code_CODE_OUT, "zone is out of service")
+	}
+	if c.stopping.Load() {
+		return nil, nil, toucanfault.NotRun(toucanpb.Code_CODE_STOPPING, "host is stopping")
+	}
+	id := toucanreplica.ID(leg.GetReplica())
+	replica, service := catalog.Replica(id)
+	if replica == nil || toucanzone.Name(replica.GetZone()) != c.Zone ||
+		replica.GetShard() != leg.GetShard() || service.GetName() != leg.GetService() {
+		return nil, nil, toucanfault.NotRun(toucanpb.Code_CODE_UNKNOWN, "replica "+leg.GetReplica()+" does not serve the shard here")
+	}
+	if leg.GetExtra() && c.Table.Cold(id) {
+		return nil, nil, toucanfault.NotRun(toucanpb.Code_CODE_REFUSED, "no hedge or retry to a cold replica")
+	}
+	if !c.Members.LeaseHeld() {
+		return nil, nil, toucanfault.NotRun(toucanpb.Code_CODE_LEASE, "host holds no lease")
+	}
+	return replica, service, nil
+}
+
+func (c *Cell) claim(ctx context.Context, leg *toucanpb.Leg) (*toucanclaim.Claim, error) {
+	if !leg.GetOnce() || leg.GetKey() == "" {
+		return nil, nil
+	}
+	if c.Claims == nil {
+		return nil, toucanfault.NotRun(toucanpb.Code_CODE_STORE, "no store for idempotency keys")
+	}
+	return c.Claims.Take(ctx, toucanservice.Name(leg.GetService()), leg.GetKey(), leg.GetQueryId())
+}
+
+// connections returns the most connections to a replica: one for each slot
+// of this host and one for health, within the service's limit.
+func (c *Cell) connections(id toucanreplica.ID, service *toucanpb.Service) int {
+	self, n := c.Members.Self().GetId(), 1
+	for i := range int(max(1, service.GetSlots())) {
+		if m, ok := c.Members.Owner(id, i); ok && m.GetId() == self {
+			n++
+		}
+	}
+	if most := int(service.GetConnections()); most > 0 {
+		n = min(n, most)
+	}
+	return n
+}
+
+// note takes in what a response said of its replica.
+func (c *Cell) note(id toucanreplica.ID, service *toucanpb.Service, replica *toucanpb.Replica, leg *toucanpb.Leg, reply toucanexchange.Reply, f *toucanfault.Error) {
+	c.learn(id, reply)
+	var code toucanpb.Code
+	if f != nil {
+		code = f.Code
+	}
+	// A cancelled request or a lost lease says nothing of the version.
+	if c.Judge == nil || code == toucanpb.Code_CODE_CANCELLED || code == toucanpb.Code_CODE_LEASE {
+		return
+	}
+	c.Judge.Observe(toucanservice.Name(service.GetName()), replica.GetVersion(), leg.GetRoute(), code, reply.Took)
+}
+
+func (c *Cell) learn(id toucanreplica.ID, reply toucanexchange.Reply) {
+	if reply.Boot == "" && reply.State == "" && reply.Versions == nil {
+		return
+	}
+	c.answered.Store(id, time.Now())
+	c.Table.Note(id, reply.Boot, reply.State)
+	if c.Inventory != nil && reply.Versions != nil && c.leads(id) {
+		c.Inventory.Record(id, reply.Versions)
+	}
+}
+
+func (c *Cell) leads(id toucanreplica.ID) bool {
+	m, ok := c.Members.Owner(id, 0)
+	return ok && m.GetId() == c.Members.Self().GetId()
+}
+
+func (c *Cell) log() *zap.Logger {
+	if c.Log == nil {
+		return zap.NewNop()
+	}
+	return c.Log
+}
--- /dev/null
+++ b/toucanstair/toucanslot/opening.go
@@ -0,0 +1,341 @@
+package toucanslot
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"toucanstair.example/core/toucanpb"
+	"toucanstair.example/core/toucanreplica"
+)
+
+// openAfter is the number of responses in time that open the next slot.
+const openAfter = 8
+
+// Cold start. The owner of slot 0 leads: it counts responses in time, opens
+// one slot after another and tells the owners of the other slots. Those count
+// as closed until the leader was heard within the lease. An owner that sees a
+// cold sign closes its own slot, and repeats the sign to the leader until the
+// leader answers with an opening for the same boot.
+
+// open returns how many slots may be used now. A host that becomes the leader
+// keeps the count that it heard within the lease and otherwise starts at 1.
+func (t *Table) open(r toucanreplica.ID, g *target) int {
+	trusted := time.Since(g.heard) < t.lease()
+	leads := t.owns(r, 0)
+	if leads && !g.leads && !trusted {
+		g.open, g.good = 1, 0
+	}
+	g.leads = leads
+	if leads || trusted {
+		return g.open
+	}
+	return 1
+}
+
+func (t *Table) lease() time.Duration {
+	if t.Lease > 0 {
+		return t.Lease
+	}
+	return defaultLease
+}
+
+// Cold reports whether a replica has closed slots, as far as this host knows.
+func (t *Table) Cold(r toucanreplica.ID) bool {
+	slots, err := t.slots(r)
+	if err != nil {
+		return true
+	}
+	p := t.part(r)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g := p.targets[r]
+	if g == nil {
+		return true
+	}
+	return t.open(r, g) < slots || slots == 1 && g.good < openAfter
+}
+
+// Draining reports whether a replica said that it is draining.
+func (t *Table) Draining(r toucanreplica.ID) bool {
+	p := t.part(r)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g := p.targets[r]
+	return g != nil && g.draining
+}
+
+// Note takes in the boot id and the state that a response named; either may
+// be empty.
+func (t *Table) Note(r toucanreplica.ID, boot string, state string) {
+	slots, _ := t.slots(r)
+	p := t.part(r)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g := p.target(r)
+	switch state {
+	case "draining":
+		g.draining = true
+	case "ready", "cold":
+		g.draining = false
+	}
+	restarted := boot != "" && g.boot != "" && boot != g.boot
+	if boot != "" {
+		g.boot = boot
+	}
+	if restarted || state == "cold" {
+		t.chill(r, g, slots, restarted)
+	}
+	t.pump(r, g, slots)
+}
+
+// judge takes in the end of a request through a slot of this host.
+func (t *Table) judge(r toucanreplica.ID, g *target, slots int, ok bool, took time.Duration) {
+	if !ok {
+		g.good = 0
+		return
+	}
+	inTime := g.speed.observe(took)
+	if g.speed.run >= slowRun {
+		g.speed.run = 0
+		t.chill(r, g, slots, false)
+		return
+	}
+	if !inTime || t.open(r, g) >= slots && slots > 1 || !g.leads {
+		return
+	}
+	g.good++
+	if g.good < openAfter || slots == 1 {
+		return
+	}
+	g.good = 0
+	g.open++
+	t.tell(r, g, slots)
+}
+
+// chill closes every slot but slot 0 and tells the others concerned. A leader
+// that repeats what it told last says so only for a new boot.
+func (t *Table) chill(r toucanreplica.ID, g *target, slots int, restarted bool) {
+	if g.open > 1 {
+		coldSeen.Inc()
+		t.log().Info("target is cold", zap.String("replica", string(r)), zap.String("boot", g.boot))
+	}
+	told := g.open == 1 && !restarted
+	g.open, g.good = 1, 0
+	if t.owns(r, 0) {
+		if !told {
+			t.tell(r, g, slots)
+		}
+		return
+	}
+	self := t.Owners.Self().GetId()
+	g.cold = &toucanpb.Opening{
+		Replica: string(r), Boot: g.boot, Open: 1, Sequence: t.sequence.Add(1), Source: self, Cold: true,
+	}
+	if m, ok := t.Owners.Owner(r, 0); ok {
+		t.announce(m, []*toucanpb.Opening{g.cold})
+	}
+}
+
+func (t *Table) opening(r toucanreplica.ID, g *target) *toucanpb.Opening {
+	return &toucanpb.Opening{
+		Replica: string(r), Boot: g.boot, Open: uint32(g.open),
+		Sequence: t.sequence.Add(1), Source: t.Owners.Self().GetId(),
+	}
+}
+
+// tell sends the open count to the owners of the other slots.
+func (t *Table) tell(r toucanreplica.ID, g *target, slots int) {
+	for i := 1; i < slots; i++ {
+		if m, ok := t.Owners.Owner(r, i); ok && !t.owns(r, i) {
+			t.announce(m, []*toucanpb.Opening{t.opening(r, g)})
+		}
+	}
+}
+
+func (t *Table) announce(to *toucanpb.Member, openings []*toucanpb.Opening) {
+	if t.Announce != nil {
+		t.Announce(to, openings)
+	}
+}
+
+// Offer adds to a heartbeat the open counts and cold signs that concern the
+// receiver.
+func (t *Table) Offer(to *toucanpb.Member, g *toucanpb.Gossip) {
+	if to.GetId() == "" {
+		return
+	}
+	t.offered.Store(to.GetId(), time.Now())
+	for _, o := range t.concerning()[to.GetId()] {
+		g.Openings = append(g.Openings, o.Opening)
+	}
+}
+
+type addressed struct {
+	*toucanpb.Opening
+	to *toucanpb.Member
+}
+
+// concerning returns what each other owner should know, by member id.
+func (t *Table) concerning() map[string][]addressed {
+	out := make(map[string][]addressed)
+	for i := range t.parts {
+		p := &t.parts[i]
+		p.mu.Lock()
+		for r, g := range p.targets {
+			slots, err := t.slots(r)
+			if err != nil {
+				continue
+			}
+			if !t.owns(r, 0) {
+				if m, ok := t.Owners.Owner(r, 0); ok && g.cold != nil {
+					out[m.GetId()] = append(out[m.GetId()], addressed{g.cold, m})
+				}
+				continue
+			}
+			for s := 1; s < slots; s++ {
+				if m, ok := t.Owners.Owner(r, s); ok && !t.owns(r, s) {
+					out[m.GetId()] = append(out[m.GetId()], addressed{t.opening(r, g), m})
+				}
+			}
+		}
+		p.mu.Unlock()
+	}
+	return out
+}
+
+// Accept takes in the openings of a heartbeat or an announcement.
+func (t *Table) Accept(from *toucanpb.Member, g *toucanpb.Gossip) {
+	for _, o := range g.GetOpenings() {
+		if o.GetSource() == from.GetId() {
+			t.accept(o)
+		}
+	}
+}
+
+func (t *Table) accept(o *toucanpb.Opening) {
+	r := toucanreplica.ID(o.GetReplica())
+	slots, err := t.slots(r)
+	if err != nil {
+		return
+	}
+	leader, ok := t.Owners.Owner(r, 0)
+	if !ok {
+		return
+	}
+	p := t.part(r)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g := p.target(r)
+	leads := t.owns(r, 0)
+	switch {
+	case o.GetCold() && leads:
+		t.warned(r, g, slots, o)
+	case !o.GetCold() && !leads && o.GetSource() == leader.GetId():
+		t.told(r, g, slots, o)
+	}
+}
+
+// warned is the leader's reaction to an owner's cold sign. A repeated sign is
+// answered but closes nothing again.
+func (t *Table) warned(r toucanreplica.ID, g *target, slots int, o *toucanpb.Opening) {
+	if o.GetSource() != g.source || o.GetSequence() > g.sequence {
+		g.source, g.sequence = o.GetSource(), o.GetSequence()
+		g.open, g.good = 1, 0
+		if o.GetBoot() != "" {
+			g.boot = o.GetBoot()
+		}
+	}
+	t.tell(r, g, slots)
+}
+
+// told is an owner's reaction to the leader's open count.
+func (t *Table) told(r toucanreplica.ID, g *target, slots int, o *toucanpb.Opening) {
+	if o.GetSource() == g.source && o.GetSequence() <= g.sequence {
+		return
+	}
+	open := int(min(max(1, o.GetOpen()), uint32(slots)))
+	agreed := g.boot == "" || o.GetBoot() == g.boot
+	switch {
+	case !agreed && open > 1:
+		// The leader opened slots of another boot than the one seen here.
+		g.open = 1
+		if g.cold == nil {
+			t.chill(r, g, slots, false)
+		}
+		return
+	case g.cold != nil && open > 1:
+		return // sent before the leader learnt of the cold sign
+	}
+	g.cold = nil
+	if o.GetBoot() != "" {
+		g.boot = o.GetBoot()
+	}
+	g.source, g.sequence = o.GetSource(), o.GetSequence()
+	g.heard, g.open = time.Now(), open
+	t.pump(r, g, slots)
+}
+
+// Run repeats openings to owners that get no heartbeats from this host, wakes
+// waiting legs after view changes and reports released views. It ends with
+// ctx and then reports on the channel.
+func (t *Table) Run(ctx context.Context) <-chan error {
+	end := make(chan error, 1)
+	go func() {
+		ticker := time.NewTicker(tick)
+		defer ticker.Stop()
+		last := time.Now()
+		for {
+			select {
+			case <-ctx.Done():
+				end <- nil
+				return
+			case <-ticker.C:
+			}
+			t.sweep()
+			if time.Since(last) >= retell {
+				last = time.Now()
+				t.repeat()
+			}
+		}
+	}()
+	return end
+}
+
+func (t *Table) repeat() {
+	for id, list := range t.concerning() {
+		if at, ok := t.offered.Load(id); ok && time.Since(at.(time.Time)) < retell {
+			continue
+		}
+		openings := make([]*toucanpb.Opening, len(list))
+		for i, a := range list {
+			openings[i] = a.Opening
+		}
+		t.announce(list[0].to, openings)
+	}
+}
+
+func (t *Table) sweep() {
+	if t.View != nil && t.Released != nil {
+		// The view is read first: permits given after it are under this view
+		// or a later one.
+		if v := t.View(); t.Lost() == 0 {
+			t.Released(v)
+		}
+	}
+	for i := range t.parts {
+		p := &t.parts[i]
+		p.mu.Lock()
+		for r, g := range p.targets {
+			slots, err := t.slots(r)
+			if err != nil && g.busy == 0 && len(g.waiting) == 0 {
+				delete(p.targets, r)
+				continue
+			}
+			t.open(r, g)
+			t.pump(r, g, slots)
+		}
+		p.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/toucanstair/toucanslot/table.go
@@ -0,0 +1,360 @@
+// Package toucanslot admits legs to the slots of replicas that this host owns
+// and brings cold targets up slowly.
+package toucanslot
+
+import (
+	"context"
+	"hash/maphash"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"toucanstair.example/core/toucanfault"
+	"toucanstair.example/core/toucanpb"
+	"toucanstair.example/core/toucanreplica"
+	"toucanstair.example/toucanstair/toucancatalog"
+)
+
+const (
+	shards       = 64
+	defaultQueue = 16
+	// defaultLease is how long an owner trusts the open count without hearing
+	// from the leader; it equals the lease of a host.
+	defaultLease = 3 * time.Second
+	tick         = 100 * time.Millisecond
+	// retell is how often the leader repeats the open count to an owner that it
+	// sends no heartbeats to; a third of the lease tolerates two lost messages.
+	retell = time.Second
+)
+
+var (
+	refusals = metrics.NewCounter("toucan_slot_refusals_total")
+	coldSeen = metrics.NewCounter("toucan_slot_cold_total")
+)
+
+// Owners is what the table needs of the zone's membership.
+type Owners interface {
+	Self() *toucanpb.Member
+	Owner(r toucanreplica.ID, slot int) (*toucanpb.Member, bool)
+	MayUse(r toucanreplica.ID, slot int) bool
+}
+
+// Configuration gives the catalog in effect, or nil.
+type Configuration interface {
+	Catalog() *toucancatalog.Catalog
+}
+
+// Table holds the admission state of replicas. Owners and Configuration are
+// required; the other fields may be left at zero. Fields must not change
+// after first use.
+type Table struct {
+	Owners        Owners
+	Configuration Configuration
+	// Announce sends openings to one member at once; it must not block.
+	Announce func(to *toucanpb.Member, openings []*toucanpb.Opening)
+	// View returns the number of the view in use; Released is told each view
+	// up to which nothing is in flight on slots that this host lost.
+	View     func() uint64
+	Released func(view uint64)
+	Waiting  int           // longest queue for each replica, default 16
+	Lease    time.Duration // default 3 s
+	Log      *zap.Logger
+
+	parts    [shards]part
+	seed     maphash.Seed
+	seeded   sync.Once
+	sequence atomic.Uint64
+	offered  sync.Map // member id to time.Time of the last heartbeat to it
+}
+
+type part struct {
+	mu      sync.Mutex
+	targets map[toucanreplica.ID]*target
+}
+
+// Permit is the right to send one request through one slot.
+type Permit struct {
+	table   *Table
+	replica toucanreplica.ID
+	slot    int
+	done    atomic.Bool
+}
+
+type waiter struct {
+	ctx     context.Context
+	granted chan *Permit // capacity 1; nil means refused
+}
+
+// target is the state of one replica, guarded by the lock of its part.
+type target struct {
+	speed    speed
+	boot     string
+	open     int  // slots open; only slot 0 when 1
+	good     int  // responses in time since the last opening
+	leads    bool // this host owned slot 0 when last looked at
+	heard    time.Time
+	source   string // host that open was heard from
+	sequence uint64
+	cold     *toucanpb.Opening // sign of a cold target that the leader has not confirmed
+	draining bool
+	busy     uint64 // bit i: slot i has a request
+	waiting  []*waiter
+}
+
+func (t *Table) part(r toucanreplica.ID) *part {
+	t.seeded.Do(func() { t.seed = maphash.MakeSeed() })
+	return &t.parts[maphash.String(t.seed, string(r))%shards]
+}
+
+func (p *part) target(r toucanreplica.ID) *target {
+	g := p.targets[r]
+	if g == nil {
+		g = &target{open: 1}
+		if p.targets == nil {
+			p.targets = make(map[toucanreplica.ID]*target)
+		}
+		p.targets[r] = g
+	}
+	return g
+}
+
+// Acquire waits for a free slot of a replica. It fails with CODE_LEASE when
+// this host has no usable slot, CODE_OVERLOAD when the queue is full or too
+// long for the deadline, CODE_REFUSED when the replica is draining, and
+// CODE_TIMEOUT or CODE_CANCELLED; every failure has the outcome notrun.
+func (t *Table) Acquire(ctx context.Context, r toucanreplica.ID) (*Permit, error) {
+	slots, fault := t.slots(r)
+	if fault != nil {
+		return nil, fault
+	}
+	p := t.part(r)
+	p.mu.Lock()
+	g := p.target(r)
+	permit, usable := t.grant(r, g, slots)
+	if permit != nil && len(g.waiting) == 0 {
+		p.mu.Unlock()
+		return permit, nil
+	}
+	if permit != nil {
+		g.busy &^= 1 << permit.slot
+	}
+	if err := t.refuse(ctx, g, usable); err != nil {
+		p.mu.Unlock()
+		refusals.Inc()
+		return nil, err
+	}
+	w := &waiter{ctx: ctx, granted: make(chan *Permit, 1)}
+	g.waiting = append(g.waiting, w)
+	t.pump(r, g, slots)
+	p.mu.Unlock()
+	select {
+	case permit = <-w.granted:
+	case <-ctx.Done():
+		t.withdraw(p, g, w)
+		return nil, ended(ctx)
+	}
+	if permit == nil {
+		return nil, toucanfault.NotRun(toucanpb.Code_CODE_LEASE, "slot closed while waiting")
+	}
+	return permit, nil
+}
+
+func ended(ctx context.Context) error {
+	if ctx.Err() == context.Canceled {
+		return toucanfault.NotRun(toucanpb.Code_CODE_CANCELLED, "cancelled in the queue")
+	}
+	return toucanfault.NotRun(toucanpb.Code_CODE_TIMEOUT, "deadline passed in the queue")
+}
+
+// refuse returns why a leg cannot wait, or nil.
+func (t *Table) refuse(ctx context.Context, g *target, usable int) error {
+	switch {
+	case ctx.Err() != nil:
+		return ended(ctx)
+	case g.draining:
+		return toucanfault.NotRun(toucanpb.Code_CODE_REFUSED, "target is draining")
+	case usable == 0:
+		return toucanfault.NotRun(toucanpb.Code_CODE_LEASE, "no open slot of the replica at this host")
+	case len(g.waiting) >= t.waitLimit():
+		return toucanfault.NotRun(toucanpb.Code_CODE_OVERLOAD, "queue of the replica is full")
+	}
+	if d, ok := ctx.Deadline(); ok {
+		if wait := g.speed.median * time.Duration(len(g.waiting)) / time.Duration(usable); wait > time.Until(d) {
+			return toucanfault.NotRun(toucanpb.Code_CODE_OVERLOAD, "queue of the replica is too long for the deadline")
+		}
+	}
+	return nil
+}
+
+func (t *Table) waitLimit() int {
+	if t.Waiting > 0 {
+		return t.Waiting
+	}
+	return defaultQueue
+}
+
+func (t *Table) withdraw(p *part, g *target, w *waiter) {
+	p.mu.Lock()
+	for i, o := range g.waiting {
+		if o == w {
+			g.waiting = append(g.waiting[:i], g.waiting[i+1:]...)
+			break
+		}
+	}
+	p.mu.Unlock()
+	select {
+	case permit := <-w.granted:
+		if permit != nil {
+			permit.Cancel()
+		}
+	default:
+	}
+}
+
+// slots returns the number of slots of a replica in the configuration.
+func (t *Table) slots(r toucanreplica.ID) (int, error) {
+	c := t.Configuration.Catalog()
+	if c == nil {
+		return 0, toucanfault.NotRun(toucanpb.Code_CODE_CONFIG, "no configuration in effect")
+	}
+	replica, service := c.Replica(r)
+	if replica == nil {
+		return 0, toucanfault.NotRun(toucanpb.Code_CODE_UNKNOWN, "replica "+string(r)+" is not configured")
+	}
+	const most = 64 // bits of target.busy
+	return int(min(max(1, service.GetSlots()), most)), nil
+}
+
+// grant takes a free usable slot, and counts the usable ones. The membership
+// is asked under the lock, so that Lost counts every permit that was given
+// before the view changed.
+func (t *Table) grant(r toucanreplica.ID, g *target, slots int) (*Permit, int) {
+	if g.draining {
+		return nil, 0
+	}
+	usable, free := 0, -1
+	for i := range min(slots, t.open(r, g)) {
+		if !t.Owners.MayUse(r, i) {
+			continue
+		}
+		usable++
+		if free < 0 && g.busy&(1<<i) == 0 {
+			free = i
+		}
+	}
+	if free < 0 {
+		return nil, usable
+	}
+	g.busy |= 1 << free
+	return &Permit{table: t, replica: r, slot: free}, usable
+}
+
+// pump gives free slots to waiting legs in order and refuses all when no slot
+// is usable any more.
+func (t *Table) pump(r toucanreplica.ID, g *target, slots int) {
+	for len(g.waiting) > 0 {
+		w := g.waiting[0]
+		if w.ctx.Err() == nil {
+			permit, usable := t.grant(r, g, slots)
+			if permit == nil && usable > 0 {
+				return
+			}
+			w.granted <- permit
+		}
+		g.waiting[0] = nil
+		g.waiting = g.waiting[1:]
+	}
+}
+
+// Done ends the request: ok tells a valid response, took its service time.
+func (p *Permit) Done(ok bool, took time.Duration) {
+	p.end(func(t *Table, g *target, slots int) { t.judge(p.replica, g, slots, ok, took) })
+}
+
+// Cancel returns a permit without an observation. It has no effect after Done.
+func (p *Permit) Cancel() { p.end(func(*Table, *target, int) {}) }
+
+func (p *Permit) end(observe func(t *Table, g *target, slots int)) {
+	if p.done.Swap(true) {
+		return
+	}
+	t := p.table
+	slots, _ := t.slots(p.replica) // 0 when no longer configured
+	part := t.part(p.replica)
+	part.mu.Lock()
+	defer part.mu.Unlock()
+	g := part.target(p.replica)
+	g.busy &^= 1 << p.slot
+	observe(t, g, slots)
+	t.pump(p.replica, g, slots)
+}
+
+// Slot returns the index of the slot.
+func (p *Permit) Slot() int { return p.slot }
+
+// Queue returns the number of legs that wait for or hold slots of a replica.
+func (t *Table) Queue(r toucanreplica.ID) int {
+	p := t.part(r)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g := p.targets[r]
+	if g == nil {
+		return 0
+	}
+	return len(g.waiting) + g.held()
+}
+
+func (g *target) held() int {
+	n := 0
+	for b := g.busy; b != 0; b &= b - 1 {
+		n++
+	}
+	return n
+}
+
+// Lost returns the number of permits for slots that this host no longer owns.
+func (t *Table) Lost() int {
+	lost := 0
+	for i := range t.parts {
+		p := &t.parts[i]
+		p.mu.Lock()
+		for r, g := range p.targets {
+			for s := 0; g.busy>>s != 0; s++ {
+				if g.busy&(1<<s) != 0 && !t.owns(r, s) {
+					lost++
+				}
+			}
+		}
+		p.mu.Unlock()
+	}
+	return lost
+}
+
+// InFlight returns the number of permits held.
+func (t *Table) InFlight() int {
+	n := 0
+	for i := range t.parts {
+		p := &t.parts[i]
+		p.mu.Lock()
+		for _, g := range p.targets {
+			n += g.held()
+		}
+		p.mu.Unlock()
+	}
+	return n
+}
+
+func (t *Table) owns(r toucanreplica.ID, slot int) bool {
+	m, ok := t.Owners.Owner(r, slot)
+	return ok && m.GetId() == t.Owners.Self().GetId()
+}
+
+func (t *Table) log() *zap.Logger {
+	if t.Log == nil {
+		return zap.NewNop()
+	}
+	return t.Log
+}
