Test exchange, budget, router, claims and slots

Cause: the latency windows were not all cleared after a pause, so an old quantile stayed. Every window is now rotated.

--- a/toucanstair/toucancell/poll.go
+++ b/toucanstair/toucancell/poll.go
@@ -55,7 +55,7 @@
 			if toucanzone.Name(r.GetZone()) != c.Zone {
 				continue
 			}
-			if c.connections(id, s) > 1 {
+			if c.connections(id, s) > 0 {
 				owned[r.GetAddress()] = true
 			}
 			if !c.leads(id) || !c.silent(id) {
--- a/toucanstair/toucancell/serve.go
+++ b/toucanstair/toucancell/serve.go
@@ -117,18 +117,22 @@
 }
 
 // connections returns the most connections to a replica: one for each slot
-// of this host and one for health, within the service's limit.
+// of this host and one for health, within the service's limit. It is 0 when
+// this host owns no slot.
 func (c *Cell) connections(id toucanreplica.ID, service *toucanpb.Service) int {
-	self, n := c.Members.Self().GetId(), 1
+	self, n := c.Members.Self().GetId(), 0
 	for i := range int(max(1, service.GetSlots())) {
 		if m, ok := c.Members.Owner(id, i); ok && m.GetId() == self {
 			n++
 		}
 	}
+	if n == 0 {
+		return 0
+	}
 	if most := int(service.GetConnections()); most > 0 {
-		n = min(n, most)
+		return min(n+1, most)
 	}
-	return n
+	return n + 1
 }
 
 // note takes in what a response said of its replica.
--- /dev/null
+++ b/toucanstair/toucanexchange/exchange_test.go
@@ -0,0 +1,286 @@
+package toucanexchange_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.opentelemetry.io/otel"
+	sdk "go.opentelemetry.io/otel/sdk/trace"
+
+	"toucanstair.example/core/toucanfault"
+	"toucanstair.example/core/toucanpb"
+	"toucanstair.example/toucanstair/toucanexchange"
+)
+
+const (
+	notRun  = toucanpb.Outcome_OUTCOME_NOTRUN
+	unknown = toucanpb.Outcome_OUTCOME_UNKNOWN
+)
+
+func leg(query string) *toucanpb.Leg {
+	return &toucanpb.Leg{QueryId: query, Service: "letters", Shard: 3, Route: "find", Limit: 2, Index: 7, Replica: "r"}
+}
+
+func request(address string, l *toucanpb.Leg) toucanexchange.Request {
+	return toucanexchange.Request{Address: address, Connections: 2, Leg: l}
+}
+
+func respond(leg string, shard, index int) string {
+	return fmt.Sprintf(`{"leg":%q,"shard":%d,"index":"%d","items":[{"id":"a","score":1.5}]}`, leg, shard, index)
+}
+
+func requireFault(t *testing.T, err error, c toucanpb.Code, o toucanpb.Outcome) {
+	t.Helper()
+	f := toucanfault.As(err)
+	require.NotNil(t, f)
+	require.Equal(t, c.String()+o.String(), f.Code.String()+f.Outcome.String(), "%v", err)
+}
+
+// Guards against a response that is wrong in one respect passing as a result.
+func TestDoRejectsWrongResponses(t *testing.T) {
+	invalid, version := toucanpb.Code_CODE_INVALID, toucanpb.Code_CODE_VERSION
+	for name, c := range map[string]struct {
+		code    toucanpb.Code
+		outcome toucanpb.Outcome
+		serve   func(w http.ResponseWriter, id string)
+	}{
+		"valid":     {0, 0, func(w http.ResponseWriter, id string) { fmt.Fprint(w, respond(id, 3, 7)) }},
+		"garbage":   {invalid, unknown, func(w http.ResponseWriter, _ string) { fmt.Fprint(w, "\x00{]") }},
+		"trailing":  {invalid, unknown, func(w http.ResponseWriter, id string) { fmt.Fprint(w, respond(id, 3, 7)+"{}") }},
+		"leg":       {invalid, unknown, func(w http.ResponseWriter, _ string) { fmt.Fprint(w, respond("other", 3, 7)) }},
+		"shard":     {invalid, unknown, func(w http.ResponseWriter, id string) { fmt.Fprint(w, respond(id, 4, 7)) }},
+		"index":     {version, unknown, func(w http.ResponseWriter, id string) { fmt.Fprint(w, respond(id, 3, 8)) }},
+		"conflict":  {version, unknown, func(w http.ResponseWriter, _ string) { w.WriteHeader(http.StatusConflict) }},
+		"failed":    {toucanpb.Code_CODE_FAILED, unknown, func(w http.ResponseWriter, _ string) { w.WriteHeader(http.StatusInternalServerError) }},
+		"busy":      {toucanpb.Code_CODE_FAILED, unknown, func(w http.ResponseWriter, _ string) { w.WriteHeader(http.StatusServiceUnavailable) }},
+		"oversized": {invalid, unknown, func(w http.ResponseWriter, _ string) { fmt.Fprint(w, strings.Repeat("x", 5<<20)) }},
+		"truncated": {invalid, unknown, func(w http.ResponseWriter, id string) {
+			w.Header().Set("Content-Length", "9999")
+			fmt.Fprint(w, respond(id, 3, 7))
+		}},
+		"refused": {toucanpb.Code_CODE_REFUSED, notRun, func(w http.ResponseWriter, _ string) {
+			w.Header().Set("Toucan-Refused", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				var q toucanpb.TargetQuery
+				_ = json.NewDecoder(r.Body).Decode(&q)
+				w.Header().Set("Toucan-Boot", "b1")
+				w.Header().Set("Toucan-Versions", "6, 7")
+				c.serve(w, q.GetLeg())
+			}))
+			defer s.Close()
+			var e toucanexchange.Exchange
+			defer e.Close()
+			rep, err := e.Do(t.Context(), request(s.Listener.Addr().String(), leg("q")))
+			require.Equal(t, "b1", rep.Boot)
+			require.Equal(t, []uint64{6, 7}, rep.Versions)
+			if c.code == 0 {
+				require.NoError(t, err)
+				require.Len(t, rep.Items, 1)
+				return
+			}
+			requireFault(t, err, c.code, c.outcome)
+		})
+	}
+}
+
+// Guards against a response without an end holding a slot for ever.
+func TestDoEndsEndlessResponse(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		for r.Context().Err() == nil {
+			fmt.Fprint(w, " ")
+			_ = http.NewResponseController(w).Flush()
+		}
+	}))
+	defer s.Close()
+	var e toucanexchange.Exchange
+	defer e.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := e.Do(ctx, request(s.Listener.Addr().String(), leg("q")))
+	requireFault(t, err, toucanpb.Code_CODE_TIMEOUT, unknown)
+}
+
+// rawTarget hands each request on a connection to serve, with its number
+// over all connections and its leg id.
+func rawTarget(t *testing.T, serve func(c net.Conn, n int64, id string)) (string, *atomic.Int64) {
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	requests := new(atomic.Int64)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				in := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					var q toucanpb.TargetQuery
+					_ = json.NewDecoder(r.Body).Decode(&q)
+					serve(c, requests.Add(1), q.GetLeg())
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), requests
+}
+
+func write(w io.Writer, body string) {
+	fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+// Guards against a late or crossed response reaching another request.
+func TestDoKeepsCrossedResponsesApart(t *testing.T) {
+	held := make(chan string, 100)
+	address, _ := rawTarget(t, func(c net.Conn, n int64, id string) {
+		switch n % 3 {
+		case 0: // late: the response follows with the next request
+			held <- id
+		case 1: // crossed: two responses to one request
+			write(c, respond(id, 3, 7))
+			write(c, respond("crossed", 3, 7))
+		default:
+			select {
+			case old := <-held:
+				write(c, respond(old, 3, 7))
+			default:
+			}
+			write(c, respond(id, 3, 7))
+		}
+	})
+	var e toucanexchange.Exchange
+	defer e.Close()
+	good := 0
+	for i := range 60 {
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+		rep, err := e.Do(ctx, request(address, leg(fmt.Sprint("q", i))))
+		cancel()
+		if err != nil {
+			require.Equal(t, unknown, toucanfault.As(err).Outcome)
+			continue
+		}
+		good++
+		require.Len(t, rep.Items, 1)
+	}
+	require.Greater(t, good, 15)
+}
+
+// Guards against net/http repeating a request when a kept-alive connection
+// breaks after the request was written.
+func TestBrokenConnectionRepeatsNothing(t *testing.T) {
+	address, requests := rawTarget(t, func(c net.Conn, n int64, id string) {
+		if n%2 == 0 {
+			c.Close()
+			return
+		}
+		write(c, respond(id, 3, 7))
+	})
+	var e toucanexchange.Exchange
+	defer e.Close()
+	l := leg("q")
+	l.Once, l.Key = true, "k"
+	for i := range 20 {
+		_, err := e.Do(t.Context(), request(address, l))
+		if i%2 == 0 {
+			require.NoError(t, err)
+			continue
+		}
+		requireFault(t, err, toucanpb.Code_CODE_DOWN, unknown)
+	}
+	require.EqualValues(t, 20, requests.Load())
+}
+
+// Guards against a request that is reported as not run but reached the target.
+func TestNotRunIsTrue(t *testing.T) {
+	address, requests := rawTarget(t, func(c net.Conn, _ int64, id string) { write(c, respond(id, 3, 7)) })
+	var e toucanexchange.Exchange
+	defer e.Close()
+	lost := request(address, leg("q"))
+	lost.May = func() bool { return false }
+	_, err := e.Do(t.Context(), lost)
+	requireFault(t, err, toucanpb.Code_CODE_LEASE, notRun)
+
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l.Close()
+	_, err = e.Do(t.Context(), request(l.Addr().String(), leg("q")))
+	requireFault(t, err, toucanpb.Code_CODE_DOWN, notRun)
+
+	// Cancels at random moments must never be reported as not run if the target read the request.
+	notrun := 0
+	for i := range 300 {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Duration(i)*time.Microsecond)
+		before := requests.Load()
+		_, err := e.Do(ctx, request(address, leg("q")))
+		cancel()
+		if f := toucanfault.As(err); f != nil && f.Outcome == notRun {
+			notrun++
+			require.Equal(t, before, requests.Load(), "cancelled after %d us", i)
+		}
+	}
+	require.Positive(t, notrun)
+}
+
+// Guards against a permit that is given back while the target still works on
+// a cancelled request.
+func TestDoReturnsAfterTargetStopped(t *testing.T) {
+	var active atomic.Int64
+	s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		active.Add(1)
+		defer active.Add(-1)
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+		<-time.After(30 * time.Millisecond)
+	}))
+	defer s.Close()
+	var e toucanexchange.Exchange
+	defer e.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := e.Do(ctx, request(s.Listener.Addr().String(), leg("q")))
+	requireFault(t, err, toucanpb.Code_CODE_TIMEOUT, unknown)
+	require.Zero(t, active.Load())
+}
+
+// Guards against requests that cannot be found in a trace.
+func TestDoSendsTraceparent(t *testing.T) {
+	old := otel.GetTracerProvider()
+	defer otel.SetTracerProvider(old)
+	otel.SetTracerProvider(sdk.NewTracerProvider())
+	var header atomic.Value
+	s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { header.Store(r.Header.Clone()) }))
+	defer s.Close()
+	var e toucanexchange.Exchange
+	defer e.Close()
+	ctx, span := otel.Tracer("test").Start(t.Context(), "parent")
+	defer span.End()
+	l := leg("q")
+	l.Key = "k"
+	_, _ = e.Do(ctx, request(s.Listener.Addr().String(), l))
+	h := header.Load().(http.Header)
+	require.Contains(t, h.Get("traceparent"), span.SpanContext().TraceID().String())
+	require.NotContains(t, h.Get("traceparent"), span.SpanContext().SpanID().String())
+	require.Equal(t, "k", h.Get("Toucan-Key"))
+	require.Empty(t, h.Get("Idempotency-Key"))
+}
--- a/toucanstair/toucanhedge/budget.go
+++ b/toucanstair/toucanhedge/budget.go
@@ -97,12 +97,12 @@
 		l.hist = hdrhistogram.NewWindowed(windows, 1, longest.Microseconds(), 2)
 		l.rotated = now
 	}
-	for now.Sub(l.rotated) >= window {
+	for i := 0; i < windows && now.Sub(l.rotated) >= window; i++ {
 		l.hist.Rotate()
 		l.rotated = l.rotated.Add(window)
-		if now.Sub(l.rotated) >= windows*window {
-			l.rotated = now
-		}
+	}
+	if now.Sub(l.rotated) >= window {
+		l.rotated = now // every window was cleared
 	}
 	// Clamped to the range, so the only error of RecordValue cannot occur.
 	_ = l.hist.Current.RecordValue(min(max(1, took.Microseconds()), longest.Microseconds()))
--- /dev/null
+++ b/toucanstair/toucanhedge/budget_test.go
@@ -0,0 +1,53 @@
+package toucanhedge_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"toucanstair.example/toucanstair/toucanhedge"
+)
+
+// Guards against extra load above 5% of the legs sent plus the 20 held.
+func TestExtraStaysWithinBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var b toucanhedge.Budget
+		sent, extra := 0, 0
+		for _, send := range rapid.SliceOfN(rapid.Bool(), 1, 2000).Draw(t, "steps") {
+			if send {
+				b.Sent()
+				sent++
+			} else if b.Take() {
+				extra++
+			}
+			if float64(extra) > 0.05*float64(sent)+20 || b.Tokens() < 0 || b.Tokens() > 20 {
+				t.Fatalf("%d extra for %d sent, %d tokens", extra, sent, b.Tokens())
+			}
+		}
+	})
+}
+
+// Guards against a delay that ignores recent latency or hedges everything at once.
+func TestDelayFollowsLatency(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var b toucanhedge.Budget
+		require.Equal(t, 20*time.Millisecond, b.Delay("s"))
+		observe := func(n int, took time.Duration) {
+			for range n {
+				<-time.After(time.Millisecond)
+				b.Observe("s", took)
+			}
+		}
+		observe(1000, 100*time.Microsecond)
+		require.Equal(t, time.Millisecond, b.Delay("s"))
+		observe(1000, 30*time.Millisecond)
+		require.InDelta(t, 30e6, float64(b.Delay("s")), 1e6)
+		<-time.After(time.Minute)
+		observe(1000, 5*time.Millisecond)
+		require.InDelta(t, 5e6, float64(b.Delay("s")), 1e6)
+		require.Equal(t, 20*time.Millisecond, b.Delay("other"))
+	})
+}
--- a/toucanstair/toucanslot/opening.go
+++ b/toucanstair/toucanslot/opening.go
@@ -57,6 +57,18 @@
 	return t.open(r, g) < slots || slots == 1 && g.good < openAfter
 }
 
+// Open returns how many slots of a replica may be used, as far as this host
+// knows; slots beyond the first of an unknown replica are closed.
+func (t *Table) Open(r toucanreplica.ID) int {
+	p := t.part(r)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if g := p.targets[r]; g != nil {
+		return t.open(r, g)
+	}
+	return 1
+}
+
 // Draining reports whether a replica said that it is draining.
 func (t *Table) Draining(r toucanreplica.ID) bool {
 	p := t.part(r)
--- /dev/null
+++ b/toucanstair/toucanslot/table_test.go
@@ -0,0 +1,254 @@
+package toucanslot_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"toucanstair.example/core/toucanfault"
+	"toucanstair.example/core/toucanpb"
+	"toucanstair.example/core/toucanreplica"
+	"toucanstair.example/toucanstair/toucancatalog"
+	"toucanstair.example/toucanstair/toucanslot"
+)
+
+const replica = toucanreplica.ID("r")
+
+// zone is a fixed membership in which member i owns slot i.
+type zone struct {
+	mu      sync.Mutex
+	members []*toucanpb.Member
+}
+
+func (z *zone) owner(slot int) (*toucanpb.Member, bool) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	if slot >= len(z.members) {
+		return nil, false
+	}
+	return z.members[slot], true
+}
+
+type host struct {
+	zone *zone
+	self *toucanpb.Member
+}
+
+func (h host) Self() *toucanpb.Member { return h.self }
+
+func (h host) Owner(_ toucanreplica.ID, slot int) (*toucanpb.Member, bool) { return h.zone.owner(slot) }
+
+func (h host) MayUse(_ toucanreplica.ID, slot int) bool {
+	m, ok := h.zone.owner(slot)
+	return ok && m.GetId() == h.self.GetId()
+}
+
+func (h host) Catalog() *toucancatalog.Catalog {
+	return toucancatalog.New(&toucanpb.Rules{Services: []*toucanpb.Service{{
+		Name: "s", Slots: 3, Shards: 1, Replicas: []*toucanpb.Replica{{Id: string(replica)}},
+	}}})
+}
+
+const announceTime = 2 * time.Millisecond
+
+func tables(n int) (*zone, []*toucanslot.Table) {
+	z := &zone{}
+	byID := map[string]*toucanslot.Table{}
+	out := make([]*toucanslot.Table, n)
+	for i := range out {
+		m := &toucanpb.Member{Id: fmt.Sprint("h", i)}
+		z.members = append(z.members, m)
+		h := host{z, m}
+		out[i] = &toucanslot.Table{Owners: h, Configuration: h}
+		out[i].Announce = func(to *toucanpb.Member, o []*toucanpb.Opening) {
+			time.AfterFunc(announceTime, func() { byID[to.GetId()].Accept(m, &toucanpb.Gossip{Openings: o}) })
+		}
+		byID[m.GetId()] = out[i]
+	}
+	return z, out
+}
+
+func within(t *testing.T, d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// Guards against a cold target that gets more requests at once than the
+// leader opened, before and after a restart, and a warm one more than it has
+// slots; and against slots that never open.
+func TestOpenBoundsRequestsOfAllHosts(t *testing.T) {
+	seed := uint64(time.Now().UnixNano())
+	synctest.Test(t, func(t *testing.T) {
+		_, ts := tables(3)
+		ctx, stop := context.WithCancel(t.Context())
+		var ends []<-chan error
+		for _, table := range ts {
+			ends = append(ends, table.Run(ctx))
+		}
+		var mu sync.Mutex
+		var clients sync.WaitGroup
+		active, most, boot, restart := 0, 0, "b1", time.Now()
+		for c := range 12 {
+			rng := rand.New(rand.NewPCG(seed, uint64(c)))
+			clients.Go(func() {
+				for ctx.Err() == nil {
+					table := ts[rng.IntN(3)]
+					permit, err := table.Acquire(within(t, 50*time.Millisecond), replica)
+					if err != nil {
+						<-time.After(time.Millisecond)
+						continue
+					}
+					mu.Lock()
+					active++
+					most = max(most, active)
+					// Requests sent before the restart was seen and told end within 20 ms.
+					if time.Since(restart) > 20*time.Millisecond {
+						require.LessOrEqual(t, active, ts[0].Open(replica), "seed %d", seed)
+					}
+					b := boot
+					mu.Unlock()
+					took := time.Duration(1+rng.IntN(4)) * time.Millisecond
+					<-time.After(took)
+					mu.Lock()
+					active--
+					mu.Unlock()
+					table.Note(replica, b, "ready")
+					permit.Done(true, took)
+				}
+			})
+		}
+		for round := range 5 {
+			<-time.After(2 * time.Second)
+			mu.Lock()
+			require.Equal(t, 3, ts[0].Open(replica), "seed %d", seed)
+			require.Equal(t, 3, most, "seed %d", seed)
+			require.False(t, ts[0].Cold(replica))
+			boot, restart, most = fmt.Sprint("b", round+2), time.Now(), 0
+			mu.Unlock()
+		}
+		stop()
+		clients.Wait()
+		for _, e := range ends {
+			<-e
+		}
+	})
+}
+
+func warm(ts []*toucanslot.Table, t *testing.T, n int) {
+	for range n {
+		p, err := ts[0].Acquire(t.Context(), replica)
+		require.NoError(t, err)
+		p.Done(true, time.Millisecond)
+	}
+	<-time.After(2 * announceTime)
+}
+
+// Guards against an owner that uses a slot without hearing from the leader,
+// and against cold signs that do not reach the leader.
+func TestOwnerClosesWithoutLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, ts := tables(3)
+		_, err := ts[1].Acquire(t.Context(), replica)
+		require.Equal(t, toucanpb.Code_CODE_LEASE, toucanfault.As(err).Code)
+		warm(ts, t, 16)
+		require.Equal(t, 3, ts[2].Open(replica))
+		<-time.After(3 * time.Second)
+		require.Equal(t, 1, ts[2].Open(replica))
+		require.Equal(t, 3, ts[0].Open(replica))
+		var g toucanpb.Gossip
+		ts[0].Offer(&toucanpb.Member{Id: "h2"}, &g)
+		ts[2].Accept(&toucanpb.Member{Id: "h0"}, &g)
+		require.Equal(t, 3, ts[2].Open(replica))
+		for range 10 {
+			p, err := ts[2].Acquire(t.Context(), replica)
+			require.NoError(t, err)
+			p.Done(true, time.Millisecond)
+		}
+		for range 3 {
+			p, err := ts[2].Acquire(t.Context(), replica)
+			require.NoError(t, err)
+			p.Done(true, 30*time.Millisecond)
+		}
+		require.Equal(t, 1, ts[2].Open(replica))
+		<-time.After(2 * announceTime)
+		require.Equal(t, 1, ts[0].Open(replica))
+	})
+}
+
+// Guards against a leg that is reported as not run and later gets a permit,
+// an unbounded queue, and waiting that loses the order.
+func TestQueueIsBoundedAndOrdered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, ts := tables(1)
+		table := ts[0]
+		held, err := table.Acquire(t.Context(), replica)
+		require.NoError(t, err)
+		_, err = table.Acquire(within(t, 10*time.Millisecond), replica)
+		require.Equal(t, toucanpb.Code_CODE_TIMEOUT, toucanfault.As(err).Code)
+		require.Equal(t, toucanpb.Outcome_OUTCOME_NOTRUN, toucanfault.As(err).Outcome)
+		order := make(chan int, 16)
+		for i := range 16 {
+			go func() {
+				p, err := table.Acquire(t.Context(), replica)
+				if err == nil {
+					order <- i
+					p.Cancel()
+				}
+			}()
+			synctest.Wait()
+		}
+		require.Equal(t, 17, table.Queue(replica))
+		_, err = table.Acquire(t.Context(), replica)
+		require.Equal(t, toucanpb.Code_CODE_OVERLOAD, toucanfault.As(err).Code)
+		held.Done(true, time.Millisecond)
+		for i := range 16 {
+			require.Equal(t, i, <-order)
+		}
+		synctest.Wait()
+		require.Zero(t, table.Queue(replica))
+	})
+}
+
+// Guards against a view reported as released while a request on a lost slot
+// is in flight, and against new work for a draining target.
+func TestReleasedAndDraining(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		z, ts := tables(2)
+		var mu sync.Mutex
+		view, released := uint64(1), uint64(0)
+		ts[0].View = func() uint64 { mu.Lock(); defer mu.Unlock(); return view }
+		ts[0].Released = func(v uint64) { mu.Lock(); defer mu.Unlock(); released = v }
+		ctx, stop := context.WithCancel(t.Context())
+		end := ts[0].Run(ctx)
+		p, err := ts[0].Acquire(ctx, replica)
+		require.NoError(t, err)
+		z.mu.Lock()
+		z.members = z.members[1:]
+		z.mu.Unlock()
+		mu.Lock()
+		view = 2
+		mu.Unlock()
+		<-time.After(time.Second)
+		require.Equal(t, 1, ts[0].Lost())
+		mu.Lock()
+		require.Equal(t, uint64(0), released) // the first tick came after the view change
+		mu.Unlock()
+		p.Cancel()
+		<-time.After(time.Second)
+		mu.Lock()
+		require.Equal(t, uint64(2), released)
+		mu.Unlock()
+		ts[1].Note(replica, "b", "draining")
+		_, err = ts[1].Acquire(ctx, replica)
+		require.Equal(t, toucanpb.Code_CODE_REFUSED, toucanfault.As(err).Code)
+		stop()
+		<-end
+	})
+}
