--- /dev/null
+++ b/core/toucanlaunch/attributes_other.go
@@ -0,0 +1,7 @@
+//go:build !linux
+
+package toucanlaunch
+
+import "syscall"
+
+func attributes() *syscall.SysProcAttr { return nil }
--- /dev/null
+++ b/core/toucanstorage/client_test.go
@@ -0,0 +1,91 @@
+package toucanstorage_test
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"toucanstair.example/core/toucanfault"
+	"toucanstair.example/core/toucanpb"
+	"toucanstair.example/core/toucanstorage"
+)
+
+// Guards against a write that goes to a second address after the first may
+// have run it, and against reads that don't.
+func TestWriteStaysWithFirstAddressOnceSent(t *testing.T) {
+	var writes int
+	second := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodGet {
+			writes++
+		}
+		w.Write([]byte(`{"key":"k","value":"dg==","revision":4}`))
+	}))
+	defer second.Close()
+	first, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer first.Close()
+	go func() {
+		for {
+			c, err := first.Accept()
+			if err != nil {
+				return
+			}
+			c.Close()
+		}
+	}()
+	client := toucanstorage.New([]string{first.Addr().String(), second.Listener.Addr().String()}, nil)
+	_, err = client.Put(t.Context(), "k", []byte("v"), 0, "")
+	f := toucanfault.As(err)
+	require.NotNil(t, f)
+	require.Equal(t, toucanpb.Code_CODE_STORE, f.Code)
+	require.Equal(t, toucanpb.Outcome_OUTCOME_UNKNOWN, f.Outcome)
+	require.Zero(t, writes)
+	e, err := client.Get(t.Context(), "k")
+	require.NoError(t, err)
+	require.Equal(t, uint64(4), e.GetRevision())
+}
+
+// Guards against a reply of any size being read into memory, and a truncated
+// or garbled one being taken for a result.
+func TestBadReplies(t *testing.T) {
+	reply := ""
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Write([]byte(reply)) }))
+	defer server.Close()
+	client := toucanstorage.New([]string{server.Listener.Addr().String()}, nil)
+	for want, r := range map[string]string{
+		"longer than":    strings.Repeat(" ", 3<<20),
+		"not valid JSON": `{"revision":`,
+	} {
+		reply = r
+		_, err := client.Put(t.Context(), "k", []byte("v"), 0, "")
+		require.ErrorContains(t, err, want)
+		require.Equal(t, toucanpb.Outcome_OUTCOME_UNKNOWN, toucanfault.As(err).Outcome)
+	}
+}
+
+// Guards against a store that hangs holding a host's goroutine.
+func TestCallsAreBoundedInTime(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	client := toucanstorage.New([]string{l.Addr().String()}, nil)
+	began := time.Now()
+	_, err = client.List(t.Context(), "")
+	require.Equal(t, toucanpb.Outcome_OUTCOME_NOTRUN, toucanfault.As(err).Outcome)
+	require.InDelta(t, 2, time.Since(began).Seconds(), 0.5)
+}
+
+// Guards against a client without an address blocking or panicking.
+func TestZeroClient(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var c toucanstorage.Client
+		_, err := c.Grant(t.Context(), time.Second)
+		require.Equal(t, toucanpb.Outcome_OUTCOME_NOTRUN, toucanfault.As(err).Outcome)
+	})
+}
