--- /dev/null
+++ b/core/toucanspec/ledger.go
@@ -0,0 +1,55 @@
+package toucanspec
+
+// Ledger is the reply of GET /admin/ledger. Times are monotonic, counted from
+// the start of the process.
+type Ledger struct {
+	Now      Duration          `json:"now"`
+	Replicas map[string]Record `json:"replicas"`
+}
+
+// Record is what one replica received and did. Peak counts the legs that are
+// held at once, with those about to be refused; a leg whose caller cancelled
+// it is held until the replica has seen the end of the connection.
+type Record struct {
+	Slots       int    `json:"slots"`
+	Requests    uint64 `json:"requests"`
+	Done        uint64 `json:"done"`      // answered with status 200
+	Refused     uint64 `json:"refused"`   // status 503 with Toucan-Refused, not run
+	Missed      uint64 `json:"missed"`    // status 409, index version not served
+	Failed      uint64 `json:"failed"`    // status 500
+	Cancelled   uint64 `json:"cancelled"` // the caller went away
+	Overloads   uint64 `json:"overloads"` // legs that arrived above Slots
+	Falls       uint64 `json:"falls"`     // times it fell over in cold start
+	Bad         uint64 `json:"bad"`       // late, crossed, garbage, truncated and endless answers
+	Peak        int    `json:"peak"`
+	PeakCold    int    `json:"peakcold"`
+	Held        int    `json:"held"`        // at present
+	Opened      uint64 `json:"opened"`      // connections accepted
+	Unopened    uint64 `json:"unopened"`    // connections closed above the limit
+	Connections int    `json:"connections"` // highest at once
+
+	Runs     map[string]uint64 `json:"runs"` // started runs by key
+	Versions map[string]uint64 `json:"versions"`
+	Routes   map[string]uint64 `json:"routes"`
+	Indexes  map[uint64]uint64 `json:"indexes"`
+
+	Drained *Duration `json:"drained,omitempty"` // when draining began
+	All     Span      `json:"all"`
+	After   Span      `json:"after"` // requests after draining began
+}
+
+// Span counts requests with the times of the first and the last.
+type Span struct {
+	Count uint64   `json:"count"`
+	First Duration `json:"first"`
+	Last  Duration `json:"last"`
+}
+
+// Add counts a request at a time.
+func (s *Span) Add(at Duration) {
+	if s.Count == 0 {
+		s.First = at
+	}
+	s.Count++
+	s.Last = at
+}
--- a/toucanstore/main.go
+++ b/toucanstore/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -63,6 +64,5 @@
 	fmt.Println(string(line))
 	err = <-ended
 	stop()
-	<-expired
-	return err
+	return errors.Join(err, <-expired)
 }
--- a/toucantarget/main.go
+++ b/toucantarget/main.go
@@ -1,6 +1,98 @@
-// Command toucantarget is a stand-in of a target.
+// Command toucantarget is a stand-in of targets: one process serves the
+// replicas that it is given.
 package main
 
-import _ "toucanstair.example/core/toucanfault"
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
 
-func main() {}
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+
+	"toucanstair.example/core/toucanfault"
+	"toucanstair.example/core/toucanpb"
+	"toucanstair.example/core/toucanspec"
+	"toucanstair.example/toucantarget/sample"
+	"toucanstair.example/toucantarget/toucanlibrary"
+	"toucanstair.example/toucantarget/toucanrack"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := command().ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "toucantarget:", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cobra.Command {
+	var replicas string
+	var seed uint64
+	c := &cobra.Command{
+		Use:           "toucantarget",
+		Short:         "Serve stand-in replicas with limits, cold start, faults and a ledger",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(c *cobra.Command, _ []string) error {
+			return serve(c.Context(), replicas, seed)
+		},
+	}
+	c.Flags().StringVar(&replicas, "replicas", "-", "JSON file with the list of replicas, - for standard input")
+	c.Flags().Uint64Var(&seed, "seed", 1, "seed of all random choices")
+	return c
+}
+
+func serve(ctx context.Context, replicas string, seed uint64) error {
+	log, err := zap.NewProduction()
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Sync() }()
+	specs, err := read(replicas)
+	if err != nil {
+		return err
+	}
+	library, err := toucanlibrary.Load(sample.Files)
+	if err != nil {
+		return err
+	}
+	rack, err := toucanrack.New(specs, library, seed, log)
+	if err != nil {
+		return err
+	}
+	addresses, ended, err := rack.Start(ctx)
+	if err != nil {
+		return err
+	}
+	line, err := json.Marshal(addresses)
+	if err != nil {
+		return err
+	}
+	fmt.Println(string(line))
+	return <-ended
+}
+
+func read(name string) ([]toucanspec.Replica, error) {
+	var b []byte
+	var err error
+	if name == "-" {
+		b, err = io.ReadAll(os.Stdin)
+	} else {
+		b, err = os.ReadFile(name)
+	}
+	if err != nil {
+		return nil, err
+	}
+	var specs []toucanspec.Replica
+	if err := json.Unmarshal(b, &specs); err != nil {
+		return nil, toucanfault.NotRun(toucanpb.Code_CODE_INVALID, "replicas in "+name).Because(err)
+	}
+	return specs, nil
+}
