--- /dev/null
+++ b/core/toucandeploy/deployment.go
@@ -0,0 +1,314 @@
+// Package toucandeploy starts a whole deployment on this machine: the store,
+// targets and hosts as processes, with a configuration.
+package toucandeploy
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"toucanstair.example/core/toucanfault"
+	"toucanstair.example/core/toucanlaunch"
+	"toucanstair.example/core/toucanpb"
+	"toucanstair.example/core/toucanspec"
+	"toucanstair.example/core/toucanzone"
+)
+
+const (
+	startLimit = 15 * time.Second
+	readyLimit = 30 * time.Second
+	readyPause = 100 * time.Millisecond
+	ctlLimit   = 20 * time.Second
+	// Above the hosts' --linger and --grace defaults of 2 s and 30 s.
+	stopLimit = 35 * time.Second
+)
+
+// Deployment is a set of running processes. Its fields are set by Start and
+// Restart. Processes that are left are killed by the launcher's Close.
+type Deployment struct {
+	Plan     Plan
+	Launcher *toucanlaunch.Launcher
+	Store    *Store
+	Targets  []*Targets
+	Hosts    []*Host
+
+	log    *zap.Logger
+	client *http.Client
+}
+
+// Store is the process of the platform's store.
+type Store struct {
+	Process *toucanlaunch.Process `json:"-"`
+	Address string                `json:"address"`
+	Admin   string                `json:"admin"`
+}
+
+// Targets is a process that serves replicas of one zone.
+type Targets struct {
+	Process  *toucanlaunch.Process `json:"-"`
+	Zone     toucanzone.Name       `json:"-"`
+	Admin    string                `json:"admin"`
+	Replicas map[string]string     `json:"replicas"` // address by id
+}
+
+// Host is the process of an entry host.
+type Host struct {
+	Process *toucanlaunch.Process `json:"-"`
+	Name    string                `json:"-"`
+	Zone    toucanzone.Name       `json:"-"`
+	Callers string                `json:"callers"`
+	Peers   string                `json:"peers"`
+	Ops     string                `json:"ops"`
+}
+
+// New returns a deployment that is not started; log may be nil.
+func New(plan Plan, launcher *toucanlaunch.Launcher, log *zap.Logger) *Deployment {
+	if log == nil {
+		log = zap.NewNop()
+	}
+	return &Deployment{
+		Plan: plan, Launcher: launcher, log: log,
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}},
+	}
+}
+
+// Start starts all processes, applies the configuration and waits until every
+// host is ready.
+func (d *Deployment) Start(ctx context.Context) error {
+	for _, step := range []func(context.Context) error{
+		d.StartPlatform, d.StartHosts, d.Apply, d.WaitReady,
+	} {
+		if err := step(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// StartPlatform starts the store and the targets.
+func (d *Deployment) StartPlatform(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	store := &Store{}
+	p, err := d.Launcher.Launch(ctx, d.program("toucanstore", "store"), store)
+	if err != nil {
+		return err
+	}
+	store.Process = p
+	d.Store = store
+	processes := max(d.Plan.Processes, 1)
+	for _, z := range d.Plan.Zones {
+		parts := make([][]toucanspec.Replica, processes)
+		n := 0
+		for _, r := range d.Plan.replicas() {
+			if r.Zone == z.Name {
+				parts[n%processes] = append(parts[n%processes], r.Replica)
+				n++
+			}
+		}
+		for i, part := range parts {
+			name := fmt.Sprintf("targets-%s-%d", z.Name, i)
+			if err := d.startTargets(ctx, z.Name, name, part); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) startTargets(ctx context.Context, zone toucanzone.Name, name string, part []toucanspec.Replica) error {
+	specs, err := json.Marshal(part)
+	if err != nil {
+		return broken("replicas of "+name, err)
+	}
+	program := d.program("toucantarget", name, "--seed", strconv.FormatUint(d.Plan.Seed, 10))
+	program.Stdin = specs
+	t := &Targets{Zone: zone}
+	if t.Process, err = d.Launcher.Launch(ctx, program, t); err != nil {
+		return err
+	}
+	d.Targets = append(d.Targets, t)
+	return nil
+}
+
+// StartHosts starts the hosts and sets the platform's host list.
+func (d *Deployment) StartHosts(ctx context.Context) error {
+	for _, z := range d.Plan.Zones {
+		for i := range d.Plan.Hosts {
+			h := &Host{Name: fmt.Sprintf("%s-%d", z.Name, i+1), Zone: z.Name}
+			if err := d.Restart(ctx, h); err != nil {
+				return err
+			}
+			d.Hosts = append(d.Hosts, h)
+		}
+	}
+	return d.ListHosts(ctx)
+}
+
+// Restart starts the process of a host, on the addresses that it had before.
+func (d *Deployment) Restart(ctx context.Context, h *Host) error {
+	ctx, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	const free = "127.0.0.1:0"
+	args := []string{
+		"--name", h.Name, "--zone", string(h.Zone), "--store", d.Store.Address,
+		"--callers", cmp.Or(h.Callers, free), "--peers", cmp.Or(h.Peers, free), "--ops", cmp.Or(h.Ops, free),
+	}
+	program := d.program("toucanstair", h.Name, append(args, d.Plan.Args...)...)
+	program.Env = d.Plan.Env
+	p, err := d.Launcher.Launch(ctx, program, h)
+	if err != nil {
+		return err
+	}
+	h.Process = p
+	return nil
+}
+
+// ListHosts sets the platform's host list to the hosts, all live.
+func (d *Deployment) ListHosts(ctx context.Context) error {
+	list := []*toucanpb.HostStatus{}
+	for _, h := range d.Hosts {
+		list = append(list, &toucanpb.HostStatus{Name: h.Name, State: "live"})
+	}
+	return d.Put(ctx, d.Store.Admin, "/admin/hosts", map[string]any{"hosts": list})
+}
+
+// Apply writes the configuration folder and applies it.
+func (d *Deployment) Apply(ctx context.Context) error {
+	if err := d.WriteRules(); err != nil {
+		return err
+	}
+	_, err := d.Control(ctx, "apply", d.Plan.Dir)
+	return err
+}
+
+// ZoneOut takes a zone out of service.
+func (d *Deployment) ZoneOut(ctx context.Context, zone toucanzone.Name) error {
+	_, err := d.Control(ctx, "zone", "out", string(zone), "--dir", d.Plan.Dir)
+	return err
+}
+
+// Control runs toucanctl against the store and returns its messages.
+func (d *Deployment) Control(ctx context.Context, args ...string) (string, error) {
+	name := "toucanctl " + strings.Join(args, " ")
+	p, err := d.Launcher.Start(ctx, d.program("toucanctl", name, append(args, "--store", d.Store.Address)...))
+	if err != nil {
+		return "", err
+	}
+	ctx, cancel := context.WithTimeout(ctx, ctlLimit)
+	defer cancel()
+	code, err := p.Wait(ctx)
+	if err != nil {
+		p.Kill()
+		return "", err
+	}
+	if code != 0 {
+		return "", exitFault(p, code)
+	}
+	return p.Stderr(), nil
+}
+
+// WaitReady waits until every host with a running process is ready.
+func (d *Deployment) WaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyLimit)
+	defer cancel()
+	for _, h := range d.Hosts {
+		if err := d.waitReady(ctx, h); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) waitReady(ctx context.Context, h *Host) error {
+	for {
+		body, err := d.Get(ctx, h.Ops, "/ready")
+		if err == nil {
+			return nil
+		}
+		timer := time.NewTimer(readyPause)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return broken(fmt.Sprintf("host %s is not ready: %s; stderr: %s", h.Name, body, h.Process.Stderr()), err)
+		case <-h.Process.Exited():
+			timer.Stop()
+			return broken(fmt.Sprintf("host %s ended; stderr: %s", h.Name, h.Process.Stderr()), err)
+		case <-timer.C:
+		}
+	}
+}
+
+// Stop sends SIGTERM to the hosts, all at once, then to the targets and the
+// store, and fails unless all exit with code 0.
+func (d *Deployment) Stop(ctx context.Context) error {
+	var hosts, rest []*toucanlaunch.Process
+	for _, h := range d.Hosts {
+		hosts = append(hosts, h.Process)
+	}
+	for _, t := range d.Targets {
+		rest = append(rest, t.Process)
+	}
+	if d.Store != nil {
+		rest = append(rest, d.Store.Process)
+	}
+	err := errors.Join(stop(ctx, hosts), stop(ctx, rest))
+	d.client.CloseIdleConnections()
+	return err
+}
+
+func stop(ctx context.Context, processes []*toucanlaunch.Process) error {
+	ended := make(chan error, len(processes))
+	n := 0
+	for _, p := range processes {
+		select {
+		case <-p.Exited():
+			// Killed on purpose earlier.
+			continue
+		default:
+		}
+		n++
+		go func() {
+			code, err := p.Stop(ctx, syscall.SIGTERM, stopLimit)
+			if err == nil && code != 0 {
+				err = exitFault(p, code)
+			}
+			ended <- err
+		}()
+	}
+	var all []error
+	for range n {
+		all = append(all, <-ended)
+	}
+	return errors.Join(all...)
+}
+
+func (d *Deployment) address(replica string) string {
+	for _, t := range d.Targets {
+		if a := t.Replicas[replica]; a != "" {
+			return a
+		}
+	}
+	return ""
+}
+
+func (d *Deployment) program(program, name string, args ...string) toucanlaunch.Program {
+	return toucanlaunch.Program{Name: name, Path: filepath.Join(d.Plan.Bin, program), Args: args}
+}
+
+func exitFault(p *toucanlaunch.Process, code int) error {
+	return &toucanfault.Error{
+		Code:   toucanpb.Code_CODE_FAILED,
+		Detail: fmt.Sprintf("%s exited with code %d; stderr: %s", p.Name(), code, p.Stderr()),
+	}
+}
--- /dev/null
+++ b/core/toucandeploy/rules.go
@@ -0,0 +1,135 @@
+package toucandeploy
+
+import (
+	"bytes"
+	"embed"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"text/template"
+	"time"
+
+	"toucanstair.example/core/toucanfault"
+	"toucanstair.example/core/toucanpb"
+	"toucanstair.example/core/toucanservice"
+	"toucanstair.example/core/toucanzone"
+)
+
+//go:embed rules/*.yaml
+var builtin embed.FS
+
+// Values is what the templates of the configuration folder are given.
+type Values struct {
+	Zones    []ZoneValues
+	Services []ServiceValues
+}
+
+// ZoneValues describes a zone; Seeds are the peer addresses of its hosts.
+type ZoneValues struct {
+	Name   toucanzone.Name
+	Region string
+	Seeds  []string
+}
+
+// ServiceValues describes a service with the addresses of its replicas.
+type ServiceValues struct {
+	Name        toucanservice.Name
+	Shards      uint32
+	Age         uint64
+	Slots       int
+	Connections int
+	Connect     time.Duration
+	Routes      []Route
+	Replicas    []ReplicaValues
+}
+
+// ReplicaValues describes a replica.
+type ReplicaValues struct {
+	ID, Address, Version string
+	Shard                uint32
+	Zone                 toucanzone.Name
+}
+
+// Seeds returns the peer addresses of a zone's hosts.
+func (v Values) Seeds(zone toucanzone.Name) []string {
+	for _, z := range v.Zones {
+		if z.Name == zone {
+			return z.Seeds
+		}
+	}
+	return nil
+}
+
+// Replicas returns the replicas of a service.
+func (v Values) Replicas(service toucanservice.Name) []ReplicaValues {
+	for _, s := range v.Services {
+		if s.Name == service {
+			return s.Replicas
+		}
+	}
+	return nil
+}
+
+// Values returns the present addresses for the templates.
+func (d *Deployment) Values() Values {
+	var v Values
+	for _, z := range d.Plan.Zones {
+		zone := ZoneValues{Name: z.Name, Region: z.Region}
+		for _, h := range d.Hosts {
+			if h.Zone == z.Name {
+				zone.Seeds = append(zone.Seeds, h.Peers)
+			}
+		}
+		v.Zones = append(v.Zones, zone)
+	}
+	for _, s := range d.Plan.Services {
+		b := s.Behaviour
+		service := ServiceValues{
+			Name: s.Name, Shards: s.Shards, Age: s.Age, Slots: b.Slots, Connections: b.Connections,
+			Connect: time.Duration(b.Connect), Routes: s.Routes,
+		}
+		for _, r := range d.Plan.replicas() {
+			if r.Service == string(s.Name) {
+				service.Replicas = append(service.Replicas,
+					ReplicaValues{r.ID, d.address(r.ID), r.Version, r.Shard, r.Zone})
+			}
+		}
+		v.Services = append(v.Services, service)
+	}
+	return v
+}
+
+// WriteRules fills the templates in and writes them to the plan's folder.
+func (d *Deployment) WriteRules() error {
+	files := d.Plan.Rules
+	if files == nil {
+		sub, err := fs.Sub(builtin, "rules")
+		if err != nil {
+			return broken("templates", err)
+		}
+		files = sub
+	}
+	names, err := fs.Glob(files, "*.yaml")
+	if err != nil {
+		return broken("templates", err)
+	}
+	values := d.Values()
+	for _, name := range names {
+		t, err := template.ParseFS(files, name)
+		if err != nil {
+			return broken("template "+name, err)
+		}
+		var b bytes.Buffer
+		if err := t.Execute(&b, values); err != nil {
+			return broken("template "+name, err)
+		}
+		if err := os.WriteFile(filepath.Join(d.Plan.Dir, name), b.Bytes(), 0o600); err != nil {
+			return broken("writing "+name, err)
+		}
+	}
+	return nil
+}
+
+func broken(detail string, cause error) error {
+	return (&toucanfault.Error{Code: toucanpb.Code_CODE_FAILED, Detail: detail}).Because(cause)
+}
