--- a/core/toucandeploy/query.go
+++ b/core/toucandeploy/query.go
@@ -144,7 +144,12 @@
 
 // Get returns the body of a reply with status 200.
 func (d *Deployment) Get(ctx context.Context, address, path string) ([]byte, error) {
-	return d.expect(ctx, http.MethodGet, address, path, nil)
+	return Get(ctx, d.client, address, path)
+}
+
+// Get is Deployment.Get with a client of the caller's choice.
+func Get(ctx context.Context, client *http.Client, address, path string) ([]byte, error) {
+	return expect(ctx, client, http.MethodGet, address, path, nil)
 }
 
 // Put sends body as JSON and expects status 200.
@@ -153,12 +158,12 @@
 	if err != nil {
 		return broken(path, err)
 	}
-	_, err = d.expect(ctx, http.MethodPut, address, path, b)
+	_, err = expect(ctx, d.client, http.MethodPut, address, path, b)
 	return err
 }
 
-func (d *Deployment) expect(ctx context.Context, method, address, path string, body []byte) ([]byte, error) {
-	status, b, err := send(ctx, d.client, method, address, path, body)
+func expect(ctx context.Context, client *http.Client, method, address, path string, body []byte) ([]byte, error) {
+	status, b, err := send(ctx, client, method, address, path, body)
 	if err != nil {
 		return nil, broken(method+" "+path, err)
 	}
--- a/toucanload/main.go
+++ b/toucanload/main.go
@@ -1,6 +1,327 @@
 // Command toucanload drives load and measures.
 package main
 
-import _ "toucanstair.example/core/toucanfault"
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
 
-func main() {}
+	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
+
+	"toucanstair.example/core/toucandeploy"
+	"toucanstair.example/core/toucanfault"
+	"toucanstair.example/core/toucanlaunch"
+	"toucanstair.example/core/toucanpb"
+	"toucanstair.example/core/toucanspec"
+	"toucanstair.example/toucanload/toucanbench"
+	"toucanstair.example/toucanload/toucandrive"
+	"toucanstair.example/toucanload/toucanreport"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := command().ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "toucanload:", err)
+		os.Exit(1)
+	}
+}
+
+// output is how results are written.
+type output struct {
+	format string
+	plot   string
+}
+
+func (o *output) flags(f *pflag.FlagSet) {
+	f.StringVarP(&o.format, "output", "o", "text", "format of the figures: text or json")
+	f.StringVar(&o.plot, "plot", "", "SVG file for latency and coverage over time")
+}
+
+func (o *output) check() error {
+	if o.format != "text" && o.format != "json" {
+		return invalid("output must be text or json, not " + o.format)
+	}
+	return nil
+}
+
+func loadFlags(f *pflag.FlagSet, s *toucandrive.Scenario) {
+	f.StringVar(&s.Service, "service", s.Service, "service to ask")
+	f.StringVar(&s.Route, "route", s.Route, "route of the service")
+	f.StringArrayVar(&s.Queries, "query", s.Queries, "query text, one of which is drawn for each request")
+	f.Uint32Var(&s.Limit, "limit", 10, "items wanted")
+	f.Float64Var(&s.Rate, "rate", 100, "requests a second over all hosts")
+	f.DurationVar(&s.Duration, "duration", 10*time.Second, "time of the measurement")
+	f.DurationVar(&s.Warmup, "warmup", 0, "time before it, sent but not reported")
+	f.DurationVar(&s.Timeout, "timeout", time.Second, "deadline of each request")
+	f.Uint64Var(&s.Seed, "seed", 1, "seed of arrivals and choices")
+	f.StringVar(&s.Keys, "keys", "", "prefix of idempotency keys; empty sends none")
+}
+
+func command() *cobra.Command {
+	var s toucandrive.Scenario
+	var o output
+	var file string
+	var ops, ledgers []string
+	c := &cobra.Command{
+		Use:   "toucanload",
+		Short: "Send open-loop load to hosts and report latency, coverage and extra load",
+		Long: "Send requests at the times of a Poisson process, whether or not earlier ones\n" +
+			"have ended, and measure each from its intended arrival. Flags that are given\n" +
+			"override the scenario file.",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if err := o.check(); err != nil {
+				return err
+			}
+			if err := readScenario(c.Flags(), file, &s); err != nil {
+				return err
+			}
+			return load(c.Context(), c.OutOrStdout(), s, o, ops, ledgers)
+		},
+	}
+	f := c.Flags()
+	loadFlags(f, &s)
+	o.flags(f)
+	f.StringVar(&file, "scenario", "", "YAML file with callers, service, route, queries, limit, rate, duration, warmup, timeout, seed, keys")
+	f.StringSliceVar(&s.Callers, "callers", nil, "addresses of the hosts' listeners for callers")
+	f.StringSliceVar(&ops, "ops", nil, "addresses of the hosts' listeners for operators, for the extra load")
+	f.StringSliceVar(&ledgers, "ledgers", nil, "admin addresses of toucantarget processes")
+	c.AddCommand(benchCommand())
+	return c
+}
+
+// readScenario reads the file and then sets again the flags that were given.
+func readScenario(f *pflag.FlagSet, file string, s *toucandrive.Scenario) error {
+	if file == "" {
+		return nil
+	}
+	given := *s
+	if err := toucandrive.Load(file, s); err != nil {
+		return err
+	}
+	for name, restore := range map[string]func(){
+		"callers":  func() { s.Callers = given.Callers },
+		"service":  func() { s.Service = given.Service },
+		"route":    func() { s.Route = given.Route },
+		"query":    func() { s.Queries = given.Queries },
+		"limit":    func() { s.Limit = given.Limit },
+		"rate":     func() { s.Rate = given.Rate },
+		"duration": func() { s.Duration = given.Duration },
+		"warmup":   func() { s.Warmup = given.Warmup },
+		"timeout":  func() { s.Timeout = given.Timeout },
+		"seed":     func() { s.Seed = given.Seed },
+		"keys":     func() { s.Keys = given.Keys },
+	} {
+		if f.Changed(name) {
+			restore()
+		}
+	}
+	return nil
+}
+
+func load(ctx context.Context, w io.Writer, s toucandrive.Scenario, o output, ops, ledgers []string) error {
+	driver, err := toucandrive.New(s)
+	if err != nil {
+		return err
+	}
+	before, err := metrics(ctx, ops)
+	if err != nil {
+		return err
+	}
+	report := toucanreport.New()
+	report.Extend(s.Duration)
+	driver.Run(ctx, func(r toucandrive.Result) {
+		r.At -= s.Warmup
+		report.Add(0, r)
+	})
+	if len(ops) > 0 {
+		after, err := metrics(ctx, ops)
+		if err != nil {
+			return err
+		}
+		report.SetExtra(after[toucanbench.MetricNeeded]-before[toucanbench.MetricNeeded],
+			after[toucanbench.MetricSent]-before[toucanbench.MetricSent])
+	}
+	records, err := readLedgers(ctx, ledgers)
+	if err != nil {
+		return err
+	}
+	report.SetTargets(records)
+	if o.plot != "" {
+		if err := toucanreport.Plot(o.plot, []string{s.Service}, []*toucanreport.Report{report}); err != nil {
+			return err
+		}
+	}
+	if o.format == "json" {
+		return writeJSON(w, report.Summary())
+	}
+	report.Summary().Print(w)
+	return nil
+}
+
+func metrics(ctx context.Context, ops []string) (map[string]float64, error) {
+	sums := map[string]float64{}
+	for _, address := range ops {
+		b, err := get(ctx, address, "/metrics")
+		if err != nil {
+			return nil, err
+		}
+		toucandeploy.AddMetrics(sums, b)
+	}
+	return sums, nil
+}
+
+func readLedgers(ctx context.Context, addresses []string) (map[string]toucanspec.Record, error) {
+	all := map[string]toucanspec.Record{}
+	for _, address := range addresses {
+		b, err := get(ctx, address, "/admin/ledger")
+		if err != nil {
+			return nil, err
+		}
+		var l toucanspec.Ledger
+		if err := json.Unmarshal(b, &l); err != nil {
+			return nil, invalid("ledger of " + address).Because(err)
+		}
+		for id, r := range l.Replicas {
+			all[id] = r
+		}
+	}
+	return all, nil
+}
+
+func get(ctx context.Context, address, path string) ([]byte, error) {
+	return toucandeploy.Get(ctx, http.DefaultClient, address, path)
+}
+
+func benchCommand() *cobra.Command {
+	var o output
+	var b toucanbench.Bench
+	var size, bin string
+	var straggle toucanspec.Straggle
+	var first, second []string
+	c := &cobra.Command{
+		Use:   "bench",
+		Short: "Start two deployments on this machine and compare two variants of the policy",
+		Long: "Start a deployment of a named size for each of two variants of the hosts' flags,\n" +
+			"and send both the same load in turn, for several rounds. The default variants are\n" +
+			"the policy and the baseline without it. Delays between zones and regions are not\n" +
+			"emulated in this version.",
+		Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if err := o.check(); err != nil {
+				return err
+			}
+			plan, err := toucandeploy.Size(size)
+			if err != nil {
+				return err
+			}
+			plan.Bin, plan.Seed = bin, b.Scenario.Seed
+			for i := range plan.Services {
+				plan.Services[i].Behaviour.Straggle = straggle
+			}
+			b.Plan = plan
+			b.Variants = []toucanbench.Variant{{Name: "policy", Args: first}, {Name: "baseline", Args: second}}
+			b.Progress = c.ErrOrStderr()
+			return bench(c.Context(), c.OutOrStdout(), b, o)
+		},
+	}
+	f := c.Flags()
+	loadFlags(f, &b.Scenario)
+	o.flags(f)
+	f.StringVar(&size, "size", "plumas", "deployment: demo, plumas or kunene")
+	f.StringVar(&bin, "bin", "bin", "directory of the programs")
+	f.IntVar(&b.Rounds, "rounds", 3, "times that each variant is measured for --duration, after --warmup")
+	f.Float64Var(&straggle.Share, "straggle-share", 0.01, "share of legs that are slow")
+	f.Float64Var(&straggle.Factor, "straggle-factor", 10, "factor of their work time")
+	f.StringArrayVar(&first, "policy-arg", nil, "flag of the hosts in the variant policy")
+	f.StringArrayVar(&second, "baseline-arg", []string{"--route", "random", "--hedge=false"}, "flag of the hosts in the variant baseline")
+	return c
+}
+
+func bench(ctx context.Context, w io.Writer, b toucanbench.Bench, o output) (err error) {
+	fillScenario(&b)
+	dir, err := os.MkdirTemp("", "toucanload")
+	if err != nil {
+		return err
+	}
+	defer func() {
+		if e := os.RemoveAll(dir); err == nil {
+			err = e
+		}
+	}()
+	b.Plan.Dir = dir
+	b.Launcher = &toucanlaunch.Launcher{}
+	defer b.Launcher.Close()
+	reports, err := b.Run(ctx)
+	if err != nil {
+		return err
+	}
+	names := make([]string, len(reports))
+	summaries := map[string]toucanreport.Summary{}
+	for i, v := range b.Variants {
+		names[i] = v.Name
+		summaries[v.Name] = reports[i].Summary()
+	}
+	if o.plot != "" {
+		if err := toucanreport.Plot(o.plot, names, reports); err != nil {
+			return err
+		}
+	}
+	policy, baseline := summaries[names[0]], summaries[names[1]]
+	ratio := float64(policy.Latency.P99) / float64(max(baseline.Latency.P99, 1))
+	if o.format == "json" {
+		return writeJSON(w, map[string]any{"variants": summaries, "p99ratio": ratio})
+	}
+	for _, name := range names {
+		fmt.Fprintf(w, "\n%s (%s)\n", name, strings.Join(variantArgs(b.Variants, name), " "))
+		summaries[name].Print(w)
+	}
+	fmt.Fprintf(w, "\np99 of %s to %s: %.3f\n", names[0], names[1], ratio)
+	return nil
+}
+
+func variantArgs(variants []toucanbench.Variant, name string) []string {
+	for _, v := range variants {
+		if v.Name == name {
+			return v.Args
+		}
+	}
+	return nil
+}
+
+// fillScenario defaults to the first service of the size and its read route.
+func fillScenario(b *toucanbench.Bench) {
+	s := &b.Scenario
+	if s.Service == "" {
+		s.Service = string(b.Plan.Services[0].Name)
+	}
+	for _, service := range b.Plan.Services {
+		if s.Route == "" && string(service.Name) == s.Service {
+			s.Route = service.Routes[0].Name
+		}
+	}
+	if len(s.Queries) == 0 {
+		s.Queries = []string{"letters about animals and football", "music pen pal", "radio working shelter", "path open bill"}
+	}
+}
+
+func writeJSON(w io.Writer, v any) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
+
+func invalid(detail string) *toucanfault.Error {
+	return toucanfault.NotRun(toucanpb.Code_CODE_INVALID, detail)
+}
--- /dev/null
+++ b/toucanload/toucandrive/driver_test.go
@@ -0,0 +1,84 @@
+package toucandrive_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"path/filepath"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"toucanstair.example/core/toucanspec"
+	"toucanstair.example/toucanload/toucandrive"
+	"toucanstair.example/toucanload/toucanreport"
+)
+
+func scenario(address string) toucandrive.Scenario {
+	return toucandrive.Scenario{
+		Callers: []string{address}, Service: "rescue", Route: "find", Queries: []string{"radio"},
+		Rate: 200, Duration: time.Second, Timeout: 2 * time.Second, Seed: 3,
+	}
+}
+
+func run(t *testing.T, s toucandrive.Scenario) (*toucanreport.Report, []time.Duration) {
+	d, err := toucandrive.New(s)
+	require.NoError(t, err)
+	r := toucanreport.New()
+	r.Extend(s.Duration)
+	var arrivals []time.Duration
+	d.Run(t.Context(), func(x toucandrive.Result) {
+		arrivals = append(arrivals, x.At)
+		r.Add(0, x)
+	})
+	return r, arrivals
+}
+
+// Guards against coordinated omission: a host that stalls must show in the
+// latency of the requests that would have been sent meanwhile.
+func TestStallShowsInLatency(t *testing.T) {
+	began := time.Now()
+	const stall = 500 * time.Millisecond
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		<-time.After(time.Until(began.Add(stall)))
+		fmt.Fprint(w, `{"coverage":{"asked":4,"answered":3,"missing":[{"shard":1,"reason":"timeout"}]},"snapshot":{"index":"7"}}`)
+	}))
+	defer server.Close()
+	r, arrivals := run(t, scenario(server.Listener.Addr().String()))
+	s := r.Summary()
+	require.Equal(t, uint64(len(arrivals)), s.Outcomes["done"])
+	require.InDelta(t, 200, len(arrivals), 60)
+	require.Greater(t, s.Latency.P90, toucanspec.Duration(300*time.Millisecond))
+	require.InDelta(t, 0.75, s.Coverage.Mean, 1e-9)
+	require.Zero(t, s.Coverage.Full)
+	require.Equal(t, s.Sent, s.Missing["timeout"])
+	file := filepath.Join(t.TempDir(), "plot.svg")
+	require.NoError(t, toucanreport.Plot(file, []string{"a"}, []*toucanreport.Report{r}))
+	require.FileExists(t, file)
+}
+
+// Guards against refusals being mixed up with lost requests, and runs that
+// differ although the seed is the same.
+func TestRefusalsAndSeed(t *testing.T) {
+	var n atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if n.Add(1)%2 == 0 {
+			panic(http.ErrAbortHandler)
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+		fmt.Fprint(w, `{"error":{"code":"overload","outcome":"notrun","detail":"full"}}`)
+	}))
+	defer server.Close()
+	s := scenario(server.Listener.Addr().String())
+	s.Duration, s.Warmup = 200*time.Millisecond, 100*time.Millisecond
+	r, first := run(t, s)
+	_, second := run(t, s)
+	require.ElementsMatch(t, first, second)
+	sum := r.Summary()
+	require.Equal(t, sum.Sent, sum.Refused["overload"]+sum.Refused["down"])
+	require.Equal(t, sum.Refused["overload"], sum.Outcomes["notrun"])
+	require.Equal(t, sum.Refused["down"], sum.Outcomes["unknown"])
+	require.NotZero(t, sum.Outcomes["unknown"])
+}
