--- a/toucanload/main.go
+++ b/toucanload/main.go
@@ -53,14 +53,14 @@
 	return nil
 }
 
-func loadFlags(f *pflag.FlagSet, s *toucandrive.Scenario) {
+func loadFlags(f *pflag.FlagSet, s *toucandrive.Scenario, warmup time.Duration) {
 	f.StringVar(&s.Service, "service", s.Service, "service to ask")
 	f.StringVar(&s.Route, "route", s.Route, "route of the service")
 	f.StringArrayVar(&s.Queries, "query", s.Queries, "query text, one of which is drawn for each request")
 	f.Uint32Var(&s.Limit, "limit", 10, "items wanted")
 	f.Float64Var(&s.Rate, "rate", 100, "requests a second over all hosts")
 	f.DurationVar(&s.Duration, "duration", 10*time.Second, "time of the measurement")
-	f.DurationVar(&s.Warmup, "warmup", 0, "time before it, sent but not reported")
+	f.DurationVar(&s.Warmup, "warmup", warmup, "time before it, sent but not reported")
 	f.DurationVar(&s.Timeout, "timeout", time.Second, "deadline of each request")
 	f.Uint64Var(&s.Seed, "seed", 1, "seed of arrivals and choices")
 	f.StringVar(&s.Keys, "keys", "", "prefix of idempotency keys; empty sends none")
@@ -91,7 +91,7 @@
 		},
 	}
 	f := c.Flags()
-	loadFlags(f, &s)
+	loadFlags(f, &s, 0)
 	o.flags(f)
 	f.StringVar(&file, "scenario", "", "YAML file with callers, service, route, queries, limit, rate, duration, warmup, timeout, seed, keys")
 	f.StringSliceVar(&s.Callers, "callers", nil, "addresses of the hosts' listeners for callers")
@@ -237,7 +237,8 @@
 		},
 	}
 	f := c.Flags()
-	loadFlags(f, &b.Scenario)
+	// Targets start cold and hosts open slots one by one.
+	loadFlags(f, &b.Scenario, 5*time.Second)
 	o.flags(f)
 	f.StringVar(&size, "size", "plumas", "deployment: demo, plumas or kunene")
 	f.StringVar(&bin, "bin", "bin", "directory of the programs")
