--- a/core/toucanfolder/folder.go
+++ b/core/toucanfolder/folder.go
@@ -63,6 +63,9 @@
 	MaxFileBytes = 64 << 10
 	// MaxFiles bounds the head, which names every file, to about 200 KB.
 	MaxFiles = 1000
+	// MaxBytes bounds all files together: a host holds them within its 64 MB,
+	// and 89,000 replicas take about 8 MB.
+	MaxBytes = 16 << 20
 	// MaxNameBytes is the longest name of a file.
 	MaxNameBytes = 128
 
@@ -98,7 +101,12 @@
 			known[p.name] = p
 		}
 	}
+	total := 0
 	for i, name := range slices.Sorted(maps.Keys(files)) {
+		if total += len(files[name]); total > MaxBytes {
+			f.early = append(f.early, Problem{name, 1, fmt.Sprintf("files over %d bytes together", MaxBytes)})
+			break
+		}
 		if i >= MaxFiles {
 			f.early = append(f.early, Problem{name, 1, fmt.Sprintf("%d files, the limit is %d", len(files), MaxFiles)})
 			break
