Drop checks that had no effect, and test the relay of dead sources longer

Trials with each mechanism switched off showed that net/http already clears the read deadline once the body is complete, and that the limit to one contact for a non-idempotent leg was checked twice.

--- a/toucanstair/toucanfrontend/frontend_test.go
+++ b/toucanstair/toucanfrontend/frontend_test.go
@@ -226,7 +226,7 @@
 		out, took := send("POST /v1/search HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\n{")
 		require.Contains(t, out, "408")
 		require.Contains(t, out, `"outcome":"notrun"`)
-		require.Less(t, took, 8*time.Second)
+		require.Equal(t, 5*time.Second, took.Truncate(time.Second))
 		out, _ = send("POST /v1/search HTTP/1.1\r\nHost: a\r\nX-Long: " + strings.Repeat("a", 32<<10) + "\r\n\r\n")
 		require.Contains(t, out, "431")
 		require.Zero(t, f.calls.Load())
--- a/toucanstair/toucanfrontend/json.go
+++ b/toucanstair/toucanfrontend/json.go
@@ -64,15 +64,11 @@
 
 // read returns the query in a request's body, or the status and the failure.
 func read(w http.ResponseWriter, r *http.Request) (*toucanpb.Query, int, *toucanfault.Error) {
-	rc := http.NewResponseController(w)
-	// A writer without deadlines is a test's; the server's has them.
-	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout))
+	// A writer without deadlines is a test's; the server's has them. net/http
+	// clears the deadline once the body is complete, so the query may take
+	// longer; after a failure it bounds the reading of what is left.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
-	if err == nil {
-		// A deadline that stays would end the connection, and so the query,
-		// later. After a failure it bounds the reading of what is left.
-		_ = rc.SetReadDeadline(time.Time{})
-	}
 	var large *http.MaxBytesError
 	var network net.Error
 	switch {
--- a/toucanstair/toucanquery/leg.go
+++ b/toucanstair/toucanquery/leg.go
@@ -129,12 +129,9 @@
 // runRemote asks the zone's contacts in turn. The next one is asked only if the
 // leg did not run at the one before, or if that one was lost and the leg is
 // idempotent; the repeat is then marked extra, so that the zone's budget for
-// hedges and retries bounds it.
+// hedges and retries bounds it. A non-idempotent leg is tried at one only.
 func (c *Coordinator) runRemote(ctx context.Context, z toucanzone.Name, leg *toucanpb.Leg) *toucanpb.LegResult {
 	hosts := c.Contacts.Contacts(z)
-	if leg.GetOnce() {
-		hosts = hosts[:min(len(hosts), 1)]
-	}
 	last := toucanfault.NotRun(toucanpb.Code_CODE_CUT, "no host of zone "+string(z)+" is known")
 	lost := false
 	for _, m := range hosts[:min(len(hosts), maxContacts)] {
--- a/toucanstair/toucansnapshot/inventory_test.go
+++ b/toucanstair/toucansnapshot/inventory_test.go
@@ -1,6 +1,7 @@
 package toucansnapshot_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -154,27 +155,27 @@
 	})
 }
 
-// Guards against a dead source that two hosts keep alive by telling each other.
+// Guards against a dead source that hosts keep alive by telling each other, also
+// after the first of them has forgotten it.
 func TestRelaysDoNotKeepDeadSourceAlive(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		dead := start("x/1", "sierra")
 		hosts := []*host{start("a/1", "sierra"), start("b/1", "sierra"), start("c/1", "sierra")}
 		dead.serve([]uint64{9}, "sierra0", "sierra1")
 		beat(dead, hosts[0])
-		for range 60 {
-			for _, from := range hosts {
-				from.serve([]uint64{7}, "sierra2")
-				for _, to := range hosts {
-					if from != to {
-						beat(from, to)
-					}
-				}
+		for range 200 {
+			hosts[0].serve([]uint64{7}, "sierra0", "sierra1")
+			for n, from := range hosts {
+				// A ring, so that the news goes round.
+				beat(from, hosts[(n+1)%len(hosts)])
 			}
 			<-time.After(500 * time.Millisecond)
 		}
 		for _, h := range hosts {
-			h.serve([]uint64{8}, "sierra0", "sierra1")
-			requirePin(t, h, 8)
+			requirePin(t, h, 7)
+			state, err := json.Marshal(h.State())
+			require.NoError(t, err)
+			require.NotContains(t, string(state), "x/1")
 		}
 	})
 }
