--- a/toucanstair/toucansnapshot/inventory_test.go
+++ b/toucanstair/toucansnapshot/inventory_test.go
@@ -122,6 +122,10 @@
 		<-time.After(2 * time.Second)
 		beat(peer, h)
 		require.Equal(t, map[toucanzone.Name][]byte{"sierra": {0b0001}}, h.Serves("letters", h.catalog, 7))
+
+		// A host that starts again no longer serves what it did before.
+		beat(start("b/2", "sierra"), h)
+		require.Nil(t, h.Serves("letters", h.catalog, 7))
 	})
 }
 
@@ -163,12 +167,20 @@
 		hosts := []*host{start("a/1", "sierra"), start("b/1", "sierra"), start("c/1", "sierra")}
 		dead.serve([]uint64{9}, "sierra0", "sierra1")
 		beat(dead, hosts[0])
-		for range 200 {
+		for round := range 200 {
+			if round == 30 {
+				// A host that starts now must not take the dead one for alive.
+				hosts = append(hosts, start("d/1", "sierra"))
+			}
 			hosts[0].serve([]uint64{7}, "sierra0", "sierra1")
 			for n, from := range hosts {
 				// A ring, so that the news goes round.
 				beat(from, hosts[(n+1)%len(hosts)])
 			}
+			if round == 33 {
+				require.Nil(t, hosts[3].Serves("letters", hosts[3].catalog, 9))
+				require.NotNil(t, hosts[3].Serves("letters", hosts[3].catalog, 7))
+			}
 			<-time.After(500 * time.Millisecond)
 		}
 		for _, h := range hosts {
@@ -197,6 +209,9 @@
 		<-time.After(11 * time.Second)
 		h.Accept(costa, summary(900, 7, 0b1111))
 		require.Equal(t, []byte{0b1111}, h.Serves("letters", h.catalog, 7)["costa"])
+		oriente := &toucanpb.Member{Id: "c/1", Zone: "oriente"}
+		h.Accept(oriente, summary(5000, 9, 0b1111))
+		require.Nil(t, h.Serves("letters", h.catalog, 9), "a zone speaks for itself only")
 	})
 }
 
