--- a/toucanstair/toucancommand/trace.go
+++ b/toucanstair/toucancommand/trace.go
@@ -6,9 +6,11 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracegrpc"
 	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/sdk/resource"
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/trace"
@@ -40,6 +42,9 @@
 		attribute.String("service.instance.id", s.Name),
 		attribute.String("cloud.availability_zone", s.Zone),
 	)))
+	// The gRPC and HTTP instrumentation takes the provider from here.
+	otel.SetTracerProvider(p)
+	otel.SetTextMapPropagator(propagation.TraceContext{})
 	return p, func() error {
 		flush, cancel := context.WithTimeout(context.WithoutCancel(ctx), traceFlush)
 		defer cancel()
--- a/toucanstair/toucandrain/drain.go
+++ b/toucanstair/toucandrain/drain.go
@@ -35,7 +35,10 @@
 
 	// Close ends the callers' listener once no query runs. May be nil.
 	Close func(context.Context) error
-	// Leave tells the peers, releases the slots and leaves the view. May be nil.
+	// Tell tells the peers to send no new legs. With it, the legs in flight end
+	// before Leave; without it, Leave has to tell the peers. May be nil.
+	Tell func(context.Context) error
+	// Leave releases the slots and leaves the zone view. May be nil.
 	Leave func(context.Context) error
 
 	phase   atomic.Int32
@@ -121,6 +124,14 @@
 		return d.failed(ctx, "closing the callers' listener", err)
 	}
 	d.enter(leaving)
+	if d.Tell != nil {
+		if err := d.Tell(ctx); err != nil {
+			return d.failed(ctx, "telling the peers", err)
+		}
+		if !d.wait(ctx, &d.legs) {
+			return d.interrupted(ctx)
+		}
+	}
 	if err := call(ctx, d.Leave); err != nil {
 		return d.failed(ctx, "leaving the zone view", err)
 	}
--- a/toucanstair/toucandrain/drain_test.go
+++ b/toucanstair/toucandrain/drain_test.go
@@ -54,6 +54,23 @@
 	})
 }
 
+// Guards against slots released while a peer's leg still runs on one.
+func TestLegsEndBetweenTellAndLeave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &toucandrain.Drainer{}
+		require.True(t, d.BeginLeg())
+		d.Tell = func(context.Context) error {
+			time.AfterFunc(time.Second, d.EndLeg)
+			return nil
+		}
+		d.Leave = func(context.Context) error {
+			require.Zero(t, d.Legs())
+			return nil
+		}
+		require.NoError(t, d.Run(t.Context()))
+	})
+}
+
 // Guards against a shutdown that hangs on a stuck query, and against one that
 // hides what it interrupted.
 func TestRunEndsAtGraceOrSecondSignal(t *testing.T) {
--- a/toucanstair/toucanfrontend/frontend.go
+++ b/toucanstair/toucanfrontend/frontend.go
@@ -208,6 +208,9 @@
 	} else {
 		partial.Inc()
 	}
+	for _, m := range a.GetCoverage().GetMissing() {
+		metrics.GetOrCreateCounter(fmt.Sprintf("toucanstair_missing_total{reason=%q}", m.GetReason())).Inc()
+	}
 	write(w, http.StatusOK, body)
 }
 
--- a/toucanstair/toucanfrontend/frontend_test.go
+++ b/toucanstair/toucanfrontend/frontend_test.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
@@ -150,6 +152,22 @@
 	requireRefusal(t, do((&toucanfrontend.Frontend{}).Handler(), http.MethodPost, path, "{}"), http.StatusServiceUnavailable, "config", "notrun", "")
 }
 
+// Guards against a query without a span, and against a span or request id that
+// a caller chooses for the host.
+func TestQueryHasSpanAndOwnRequestID(t *testing.T) {
+	front, _ := start()
+	spans := tracetest.NewSpanRecorder()
+	front.Tracer = sdktrace.NewTracerProvider(sdktrace.WithSpanProcessor(spans)).Tracer("test")
+	w := httptest.NewRecorder()
+	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader("{}"))
+	r.Header.Set("X-Request-Id", "mine")
+	r.Header.Set("Traceparent", "00-01000000000000000000000000000000-0200000000000000-01")
+	front.Handler().ServeHTTP(w, r)
+	require.Len(t, w.Header().Get("X-Request-Id"), 32)
+	require.Len(t, spans.Ended(), 1)
+	require.Equal(t, "01000000000000000000000000000000", spans.Ended()[0].SpanContext().TraceID().String())
+}
+
 // Guards against a burst that queues, which lowers goodput: at three times the
 // limit exactly the limit runs and the others are refused at once.
 func TestBurstIsRefusedAtOnce(t *testing.T) {
--- a/toucanstair/toucanquery/once.go
+++ b/toucanstair/toucanquery/once.go
@@ -50,7 +50,7 @@
 			Request:  t.request,
 			Snapshot: &toucanpb.Snapshot{Index: r.GetIndex(), Map: t.catalog.Revision()},
 			Coverage: &toucanpb.Coverage{Asked: 1, Answered: 1},
-			Items:    r.GetItems(),
+			Items:    r.GetItems()[:min(len(r.GetItems()), int(t.limit))],
 		}, nil
 	}
 	return nil, c.settle(ctx, t, leg, r)
--- a/toucanstair/toucanquery/query_test.go
+++ b/toucanstair/toucanquery/query_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.opentelemetry.io/otel/trace"
 
 	"toucanstair.example/core/toucanfault"
 	"toucanstair.example/core/toucanpb"
@@ -134,6 +135,15 @@
 	require.Empty(t, w.legs)
 }
 
+// Guards against legs whose spans are not part of the query's trace.
+func TestLegsCarryTrace(t *testing.T) {
+	w := &world{}
+	at := trace.NewSpanContext(trace.SpanContextConfig{TraceID: trace.TraceID{1}, SpanID: trace.SpanID{2}, TraceFlags: trace.FlagsSampled})
+	_, err := start(w, 1, "sierra").Search(trace.ContextWithSpanContext(t.Context(), at), "r", find(""))
+	require.NoError(t, err)
+	require.Equal(t, "00-01000000000000000000000000000000-0200000000000000-01", w.legs[0].Traceparent)
+}
+
 // Guards against crossed, wrong-version, failed or unorderable results counting
 // as answers.
 func TestSearchCountsOnlyTrueResults(t *testing.T) {
