--- a/toucanstair/toucancommand/process.go
+++ b/toucanstair/toucancommand/process.go
@@ -17,9 +17,8 @@
 	"toucanstair.example/toucanstair/toucanops"
 )
 
-// process holds the parts of a running host. Parts that are added need the
-// configuration, the zone view and the peers; until then the host is not ready
-// and refuses queries.
+// process holds the parts of a running host. Without a configuration and a
+// lease the host is not ready and refuses queries.
 type process struct {
 	settings *Settings
 	log      *zap.Logger
@@ -89,8 +88,7 @@
 	defer cancel()
 	callers := p.frontend.Serve(ctx, p.callers)
 	ops := p.server.Serve(ctx, p.ops)
-	p.log.Info("serving", zap.String("host", p.settings.Name), zap.String("zone", p.settings.Zone),
-		zap.Stringer("callers", p.callers.Addr()), zap.Stringer("peers", p.peers.Addr()), zap.Stringer("ops", p.ops.Addr()))
+	p.log.Info("serving", zap.Stringer("callers", p.callers.Addr()), zap.Stringer("peers", p.peers.Addr()), zap.Stringer("ops", p.ops.Addr()))
 	var err error
 	select {
 	case s := <-signals:
--- a/toucanstair/toucanfrontend/frontend.go
+++ b/toucanstair/toucanfrontend/frontend.go
@@ -283,7 +283,7 @@
 // is not used: two callers may send the same one.
 func newRequest() string {
 	var b [16]byte
-	rand.Read(b[:]) //nolint:errcheck // it never fails, by its documentation
+	rand.Read(b[:]) // it never fails, by its documentation
 	return hex.EncodeToString(b[:])
 }
 
