Shift traffic to a new version by stages and take bad versions back

Comparisons need an excess over the bound that Fisher's exact test finds significant, because 30 samples alone exceed a bound of 0.05 by chance.

--- /dev/null
+++ b/toucanstair/toucanmove/route.go
@@ -0,0 +1,178 @@
+package toucanmove
+
+import (
+	"fmt"
+	"math"
+	"sync"
+	"time"
+)
+
+const (
+	// fastFailures in the last fastResponses of the new version start the
+	// check on one host.
+	fastFailures  = 5
+	fastResponses = 20
+	fastChance    = 1e-4
+
+	slowFactor = 2
+	slowExcess = 5 * time.Millisecond
+
+	// A median needs medianSamples; the interval behind it spans from
+	// medianSpan to twice that, and more when there are fewer samples.
+	medianSamples = 20
+	medianSpan    = 2 * time.Second
+
+	buckets = 128
+	// perOctave gives a resolution of 19%, which is enough for a factor of 2.
+	perOctave = 4
+)
+
+// counts are counters of one version; they only rise within a stage.
+type counts struct{ answers, errors, slow uint64 }
+
+func (c counts) minus(o counts) counts {
+	return counts{c.answers - o.answers, c.errors - o.errors, c.slow - o.slow}
+}
+
+// pair holds the counters of both versions over the same interval.
+type pair struct{ old, new counts }
+
+func (p pair) minus(o pair) pair { return pair{p.old.minus(o.old), p.new.minus(o.new)} }
+
+// recent is a response of the new version, with the old version's counters
+// from just before it.
+type recent struct {
+	fail bool
+	old  counts
+}
+
+// route holds what this host observed on one route.
+type route struct {
+	mu        sync.Mutex
+	seen      pair
+	last      [fastResponses]recent
+	filled    int // responses of the new version, of which the last are in last
+	hist      [2][buckets]uint32
+	held      [2]uint32
+	rotated   time.Time
+	threshold time.Duration // 0: not known
+}
+
+// reset starts the counters of a new stage; the median is kept.
+func (r *route) reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.seen, r.filled = pair{}, 0
+}
+
+func (r *route) pair() pair {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.seen
+}
+
+// observe counts a response and returns a reason to take the move back, or "".
+func (r *route) observe(isNew, fail bool, took time.Duration) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := &r.seen.old
+	if isNew {
+		c = &r.seen.new
+		r.last[r.filled%fastResponses] = recent{fail, r.seen.old}
+		r.filled++
+	}
+	c.answers++
+	switch {
+	case fail:
+		c.errors++
+	case r.threshold > 0 && took > r.threshold:
+		c.slow++
+	}
+	if !isNew && !fail {
+		r.hist[0][bucket(took)]++
+		r.held[0]++
+	}
+	return r.fast()
+}
+
+// fast compares the last responses of the new version with those of the old
+// version since the first of them. On a host with a bad network both fail.
+func (r *route) fast() string {
+	n := min(r.filled, fastResponses)
+	var fails uint64
+	for i := range n {
+		if r.last[i].fail {
+			fails++
+		}
+	}
+	if fails < fastFailures {
+		return ""
+	}
+	first := r.last[0]
+	if r.filled > fastResponses {
+		first = r.last[r.filled%fastResponses]
+	}
+	old := r.seen.old.minus(first.old)
+	if chance(uint64(n), fails, old.answers, old.errors) > fastChance {
+		return ""
+	}
+	return fmt.Sprintf("%d of the last %d responses failed, %d of %d of the old version", fails, n, old.errors, old.answers)
+}
+
+// measure renews the threshold of slow responses from the old version's median.
+func (r *route) measure(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	total := r.held[0] + r.held[1]
+	if total < medianSamples {
+		return
+	}
+	half, sum := (total+1)/2, uint32(0)
+	for i := range buckets {
+		if sum += r.hist[0][i] + r.hist[1][i]; sum >= half {
+			median := span(i)
+			r.threshold = max(slowFactor*median, median+slowExcess)
+			break
+		}
+	}
+	if r.held[0] >= medianSamples && now.Sub(r.rotated) >= medianSpan {
+		r.hist[1], r.held[1] = r.hist[0], r.held[0]
+		r.hist[0], r.held[0] = [buckets]uint32{}, 0
+		r.rotated = now
+	}
+}
+
+func bucket(d time.Duration) int {
+	us := max(float64(d)/float64(time.Microsecond), 1)
+	return min(int(perOctave*math.Log2(us)), buckets-1)
+}
+
+// span returns the middle of a bucket.
+func span(i int) time.Duration {
+	return time.Duration(math.Exp2((float64(i)+0.5)/perOctave) * float64(time.Microsecond))
+}
+
+// chance returns the probability that at least a of n responses of one version
+// fail when a+f failures are spread by chance over its n and the other's m
+// responses (Fisher's exact test, one-sided).
+func chance(n, a, m, f uint64) float64 {
+	k := a + f
+	term := math.Exp(choose(k, a) + choose(n+m-k, n-a) - choose(n+m, n))
+	sum := term
+	for x := a; x < min(n, k); x++ {
+		term *= float64(k-x) * float64(n-x) / (float64(x+1) * float64(m+x+1-k))
+		sum += term
+		if term < sum*1e-9 {
+			break
+		}
+	}
+	return min(sum, 1)
+}
+
+// choose returns the logarithm of a binomial coefficient.
+func choose(n, k uint64) float64 {
+	a, _ := math.Lgamma(float64(n) + 1)
+	b, _ := math.Lgamma(float64(k) + 1)
+	c, _ := math.Lgamma(float64(n-k) + 1)
+	return a - b - c
+}
