--- a/toucanstair/toucanfrontend/frontend.go
+++ b/toucanstair/toucanfrontend/frontend.go
@@ -208,6 +208,9 @@
 	} else {
 		partial.Inc()
 	}
+	for _, m := range a.GetCoverage().GetMissing() {
+		metrics.GetOrCreateCounter(fmt.Sprintf("toucanstair_missing_total{reason=%q}", m.GetReason())).Inc()
+	}
 	write(w, http.StatusOK, body)
 }
 
@@ -280,7 +283,7 @@
 // is not used: two callers may send the same one.
 func newRequest() string {
 	var b [16]byte
-	rand.Read(b[:]) //nolint:errcheck // it never fails, by its documentation
+	rand.Read(b[:]) // it never fails, by its documentation
 	return hex.EncodeToString(b[:])
 }
 
