Connect the parts of a host

The process now runs the membership manager, the configuration keeper, the move judge, the cell and the gRPC server for peers, and stops them in the order of the graceful shutdown. Responses are reported to the judge by the owners of the slots only; the coordinator reported them a second time, which doubled the evidence.

--- a/core/toucanfault/fault.go
+++ b/core/toucanfault/fault.go
@@ -63,11 +63,12 @@
 func (e *Error) Unwrap() error { return e.Cause }
 
 // CodeWord returns the word that stands for c in JSON, logs and metrics.
-func CodeWord(c toucanpb.Code) string {
-	return strings.ToLower(strings.TrimPrefix(c.String(), "CODE_"))
-}
+func CodeWord(c toucanpb.Code) string { return Word(c.String(), "CODE_") }
 
 // OutcomeWord returns the word that stands for o in JSON, logs and metrics.
-func OutcomeWord(o toucanpb.Outcome) string {
-	return strings.ToLower(strings.TrimPrefix(o.String(), "OUTCOME_"))
+func OutcomeWord(o toucanpb.Outcome) string { return Word(o.String(), "OUTCOME_") }
+
+// Word returns the lower-case word of an enumeration's name without its prefix.
+func Word(name, prefix string) string {
+	return strings.ToLower(strings.TrimPrefix(name, prefix))
 }
--- /dev/null
+++ b/toucanstair/toucancommand/node.go
@@ -0,0 +1,274 @@
+package toucancommand
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"toucanstair.example/core/toucanfault"
+	"toucanstair.example/core/toucanhost"
+	"toucanstair.example/core/toucanpb"
+	"toucanstair.example/core/toucanstorage"
+	"toucanstair.example/core/toucanzone"
+	"toucanstair.example/toucanstair/toucancatalog"
+	"toucanstair.example/toucanstair/toucancell"
+	"toucanstair.example/toucanstair/toucanclaim"
+	"toucanstair.example/toucanstair/toucanconfig"
+	"toucanstair.example/toucanstair/toucandrain"
+	"toucanstair.example/toucanstair/toucanexchange"
+	"toucanstair.example/toucanstair/toucanhedge"
+	"toucanstair.example/toucanstair/toucanmember"
+	"toucanstair.example/toucanstair/toucanmove"
+	"toucanstair.example/toucanstair/toucanpeer"
+	"toucanstair.example/toucanstair/toucanpeerlink"
+	"toucanstair.example/toucanstair/toucanquery"
+	"toucanstair.example/toucanstair/toucanroute"
+	"toucanstair.example/toucanstair/toucanslot"
+	"toucanstair.example/toucanstair/toucansnapshot"
+)
+
+// storeWatchers is how many hosts of a zone watch the store. One would delay
+// changes when it fails; each further one costs a waiting call for each zone.
+const storeWatchers = 2
+
+// drainPoll is the interval at which a leaving host looks for legs in flight.
+const drainPoll = 20 * time.Millisecond
+
+// node holds the connected parts of a host.
+type node struct {
+	zone        toucanzone.Name
+	beat        time.Duration
+	log         *zap.Logger
+	drainer     *toucandrain.Drainer
+	store       *toucanstorage.Client
+	keeper      *toucanconfig.Keeper
+	members     *toucanmember.Manager
+	inventory   *toucansnapshot.Inventory
+	judge       *toucanmove.Judge
+	table       *toucanslot.Table
+	cell        *toucancell.Cell
+	claims      *toucanclaim.Claims
+	link        *toucanpeerlink.Link
+	peers       *toucanpeer.Server
+	announcer   *announcer
+	coordinator *toucanquery.Coordinator
+}
+
+// newNode connects the parts; start makes them work.
+func newNode(s *Settings, drainer *toucandrain.Drainer, log *zap.Logger) *node {
+	n := &node{zone: toucanzone.Name(s.Zone), beat: s.Beat, log: log, drainer: drainer}
+	n.store = toucanstorage.New(addressList(s.Store), log)
+	n.link = &toucanpeerlink.Link{Log: log}
+	n.keeper = &toucanconfig.Keeper{Store: n.store, Watching: n.isWatcher, Pull: n.pull, Peers: n.knownHosts(s.Seeds), Log: log}
+	n.judge = &toucanmove.Judge{Catalog: n.keeper.Catalog, Store: n.store, Leading: n.isMoveLeader, Log: log}
+	n.announcer = newAnnouncer(n.dial)
+	n.table = &toucanslot.Table{Configuration: n.keeper, Announce: n.announcer.announce, Log: log}
+	identity := &identity{}
+	n.inventory = toucansnapshot.New(n.keeper, identity)
+	n.members = toucanmember.New(toucanmember.Settings{
+		Name: s.Name, Zone: n.zone, Address: s.Advertise, Store: n.store, Dial: n.dial, Seeds: n.seeds(s.Seeds),
+		Contributors: []toucanmember.Contributor{n.keeper, n.inventory, n.judge, n.table},
+		Beat:         s.Beat, Leg: toucanexchange.LongestLeg, Log: log,
+	})
+	identity.Manager = n.members
+	n.announcer.self = n.members
+	n.judge.Source = toucanhost.ID(n.members.Self().GetId())
+	n.table.Owners = n.members
+	n.table.View = func() uint64 { return n.members.View().Number() }
+	n.table.Released = n.members.SetReleased
+	n.claims = &toucanclaim.Claims{Store: n.store, Rate: float64(s.Claims), Log: log}
+	n.cell = &toucancell.Cell{
+		Zone: n.zone, Members: n.members, Configuration: n.keeper, Link: n.link, Table: n.table,
+		Router: newRouter(s), Budget: &toucanhedge.Budget{}, Exchange: &toucanexchange.Exchange{},
+		Claims: n.claims, Judge: n.judge, Inventory: n.inventory, Baseline: !s.Hedge, Log: log,
+	}
+	n.peers = &toucanpeer.Server{Runner: counted{n.cell, drainer}, Membership: n.members, Fetcher: n}
+	n.coordinator = &toucanquery.Coordinator{
+		Zone: n.zone, Keeper: n.keeper, Inventory: n.inventory, Cell: n.cell, Link: n.link, Contacts: n.members,
+		Judge: n.judge, Claims: n.claims, Drainer: drainer, Log: log,
+	}
+	return n
+}
+
+// identity gives the inventory this host's member, which is built after it.
+type identity struct{ *toucanmember.Manager }
+
+func newRouter(s *Settings) *toucanroute.Router {
+	r := &toucanroute.Router{Seed: uint64(time.Now().UnixNano())}
+	if s.Route == "random" {
+		r.Policy = toucanroute.PolicyRandom
+	}
+	return r
+}
+
+func addressList(address string) []string {
+	if address == "" {
+		return nil
+	}
+	return []string{address}
+}
+
+func (n *node) dial(address string) (toucanpb.PeerClient, error) {
+	c, err := n.link.Conn(address)
+	if err != nil {
+		return nil, err
+	}
+	return toucanpb.NewPeerClient(c), nil
+}
+
+func (n *node) pull(ctx context.Context, from *toucanpb.Member, r *toucanpb.FetchRequest) (*toucanpb.FetchReply, error) {
+	c, err := n.dial(from.GetAddress())
+	if err != nil {
+		return nil, err
+	}
+	return c.Fetch(ctx, r)
+}
+
+// Fetch serves the configuration and the zone view to peers.
+func (n *node) Fetch(ctx context.Context, r *toucanpb.FetchRequest) (*toucanpb.FetchReply, error) {
+	reply, err := n.keeper.Fetch(ctx, r)
+	if err != nil || !r.GetView() {
+		return reply, err
+	}
+	reply.View = n.members.View().Message()
+	return reply, nil
+}
+
+// seeds returns the hosts given in the settings and those in the configuration.
+func (n *node) seeds(given []string) func() []string {
+	return func() []string {
+		out := slices.Clone(given)
+		if c := n.keeper.Catalog(); c != nil {
+			for _, z := range c.Zones() {
+				out = append(out, z.GetSeeds()...)
+			}
+		}
+		return out
+	}
+}
+
+// knownHosts returns the hosts that a fresh host asks for the configuration.
+func (n *node) knownHosts(given []string) func() []*toucanpb.Member {
+	return func() []*toucanpb.Member {
+		self := n.members.Self().GetId()
+		out := slices.DeleteFunc(slices.Clone(n.members.View().Members()), func(m *toucanpb.Member) bool { return m.GetId() == self })
+		for _, a := range given {
+			out = append(out, &toucanpb.Member{Address: a})
+		}
+		return out
+	}
+}
+
+func (n *node) isWatcher() bool {
+	ranked := n.members.View().Rank("watch", string(n.zone))
+	self := n.members.Self().GetId()
+	if !slices.ContainsFunc(ranked, func(m *toucanpb.Member) bool { return m.GetId() == self }) {
+		return false // not a member yet; the first read at the start does not depend on this
+	}
+	ranked = ranked[:min(storeWatchers, len(ranked))]
+	return slices.ContainsFunc(ranked, func(m *toucanpb.Member) bool { return m.GetId() == self })
+}
+
+// isMoveLeader reports whether this host is the first ranked one of the first
+// zone in name order that is in service. The compare-and-swap of the stage
+// makes a second leader harmless.
+func (n *node) isMoveLeader() bool {
+	c := n.keeper.Catalog()
+	if c == nil || firstInService(c) != n.zone {
+		return false
+	}
+	ranked := n.members.View().Rank("move", string(n.zone))
+	return len(ranked) > 0 && ranked[0].GetId() == n.members.Self().GetId()
+}
+
+func firstInService(c *toucancatalog.Catalog) toucanzone.Name {
+	var first toucanzone.Name
+	for _, z := range c.Zones() {
+		if name := toucanzone.Name(z.GetName()); !z.GetOut() && (first == "" || name < first) {
+			first = name
+		}
+	}
+	return first
+}
+
+// start starts all parts and returns the channels on which they report their end.
+func (n *node) start(ctx context.Context) []<-chan error {
+	return []<-chan error{
+		n.announcer.run(ctx),
+		n.members.Run(ctx),
+		n.keeper.Run(ctx),
+		n.judge.Run(ctx),
+		n.table.Run(ctx),
+		n.claims.Run(ctx),
+		n.cell.Poll(ctx),
+	}
+}
+
+// tell lets the peers learn that this host leaves, and then refuses their new
+// legs; those go to the other owners of the replica.
+func (n *node) tell(ctx context.Context) error {
+	n.members.SetLeaving()
+	if err := wait(ctx, 2*n.beat); err != nil {
+		return err
+	}
+	n.cell.Stop()
+	return nil
+}
+
+// leave removes the host from the zone view when nothing is in flight. The
+// store may be down; then the others remove the host by vote, which interrupts
+// nothing.
+func (n *node) leave(ctx context.Context) error {
+	for n.table.InFlight() > 0 || n.peers.Running() > 0 {
+		if err := wait(ctx, drainPoll); err != nil {
+			return err
+		}
+	}
+	if err := n.members.Leave(ctx); err != nil {
+		n.log.Warn("the zone view still names this host", zap.Error(err))
+	}
+	return nil
+}
+
+func (n *node) close() {
+	n.link.Close()
+	n.cell.Exchange.Close()
+}
+
+func wait(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return toucanfault.Unknown(toucanpb.Code_CODE_STOPPING, "interrupted while handing slots over").Because(ctx.Err())
+	}
+}
+
+// counted counts the legs that run for peers, so that a shutdown waits for them.
+type counted struct {
+	cell    *toucancell.Cell
+	drainer *toucandrain.Drainer
+}
+
+func (c counted) Run(ctx context.Context, leg *toucanpb.Leg) *toucanpb.LegResult {
+	return c.count(ctx, leg, c.cell.Run)
+}
+
+func (c counted) Serve(ctx context.Context, leg *toucanpb.Leg) *toucanpb.LegResult {
+	return c.count(ctx, leg, c.cell.Serve)
+}
+
+func (c counted) count(ctx context.Context, leg *toucanpb.Leg, run func(context.Context, *toucanpb.Leg) *toucanpb.LegResult) *toucanpb.LegResult {
+	if !c.drainer.BeginLeg() {
+		return &toucanpb.LegResult{
+			Number: leg.GetNumber(), Shard: leg.GetShard(), Index: leg.GetIndex(), Replica: leg.GetReplica(),
+			Outcome: toucanpb.Outcome_OUTCOME_NOTRUN, Code: toucanpb.Code_CODE_STOPPING, Detail: "host has left",
+		}
+	}
+	defer c.drainer.EndLeg()
+	return run(ctx, leg)
+}
--- a/toucanstair/toucancommand/process.go
+++ b/toucanstair/toucancommand/process.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"os"
+	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/trace"
@@ -29,6 +31,7 @@
 	drainer  *toucandrain.Drainer
 	frontend *toucanfrontend.Frontend
 	server   *toucanops.Server
+	node     *node
 }
 
 // addresses is the line that --report prints.
@@ -68,9 +71,23 @@
 	if s.Advertise == "" {
 		s.Advertise = p.peers.Addr().String()
 	}
+	p.connect()
 	return p, nil
 }
 
+// connect builds the node and gives it to the listeners.
+func (p *process) connect() {
+	p.node = newNode(p.settings, p.drainer, p.log)
+	p.frontend.Coordinator, p.frontend.Keeper = p.node.coordinator, p.node.keeper
+	p.server.Keeper, p.server.Member = p.node.keeper, p.node.members
+	p.server.Age = func() time.Duration { return p.node.keeper.Status().Age }
+	p.server.Add("view", membership{p.node.members})
+	p.server.Add("configuration", configuration{p.node.keeper})
+	p.server.Add("moves", moves{p.node.judge})
+	p.server.Add("inventory", p.node.inventory)
+	p.drainer.Tell, p.drainer.Leave = p.node.tell, p.node.leave
+}
+
 // report prints the actual listening addresses as one JSON line.
 func (p *process) report(out io.Writer) error {
 	return eris.Wrap(json.NewEncoder(out).Encode(addresses{
@@ -88,6 +105,8 @@
 	defer cancel()
 	callers := p.frontend.Serve(ctx, p.callers)
 	ops := p.server.Serve(ctx, p.ops)
+	peers := p.node.peers.Run(ctx, p.peers)
+	parts, failed := p.watch(p.node.start(ctx))
 	p.log.Info("serving", zap.Stringer("callers", p.callers.Addr()), zap.Stringer("peers", p.peers.Addr()), zap.Stringer("ops", p.ops.Addr()))
 	var err error
 	select {
@@ -100,9 +119,13 @@
 	case err = <-ops:
 		err = eris.Wrap(err, "operators' listener")
 		ops = nil
+	case err = <-peers:
+		err = eris.Wrap(err, "peers' listener")
+		peers = nil
+	case err = <-failed:
 	}
 	cancel()
-	for _, end := range []<-chan error{callers, ops} {
+	for _, end := range []<-chan error{callers, ops, peers, parts} {
 		if end == nil {
 			continue
 		}
@@ -111,9 +134,32 @@
 		}
 	}
 	p.close()
+	p.node.close()
 	return err
 }
 
+// watch joins the ends of the parts: the first channel reports when all have
+// ended, the second the first failure.
+func (p *process) watch(ends []<-chan error) (<-chan error, <-chan error) {
+	all, failed := make(chan error, 1), make(chan error, 1)
+	var group sync.WaitGroup
+	for _, end := range ends {
+		group.Go(func() {
+			if err := <-end; err != nil {
+				select {
+				case failed <- err:
+				default:
+				}
+			}
+		})
+	}
+	go func() {
+		group.Wait()
+		all <- nil
+	}()
+	return all, failed
+}
+
 // drain runs the graceful shutdown; a second signal ends it.
 func (p *process) drain(ctx context.Context, signals <-chan os.Signal) error {
 	ctx, cancel := context.WithCancel(ctx)
--- a/toucanstair/toucanexchange/exchange.go
+++ b/toucanstair/toucanexchange/exchange.go
@@ -33,7 +33,7 @@
 	dialTimeout = time.Second
 )
 
-var sent = metrics.NewCounter("toucan_exchange_requests_total")
+var sent = metrics.NewCounter("toucan_legs_sent_total")
 
 // Exchange holds the connections to targets. The zero value works.
 type Exchange struct {
--- a/toucanstair/toucanquery/gather.go
+++ b/toucanstair/toucanquery/gather.go
@@ -5,12 +5,18 @@
 	"errors"
 	"math"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"toucanstair.example/core/toucanfault"
 	"toucanstair.example/core/toucanpb"
 	"toucanstair.example/core/toucanshard"
 	"toucanstair.example/toucanstair/toucanmerge"
 )
 
+// needed counts the shards asked for; with toucan_legs_sent_total it gives the
+// extra load of hedges and retries.
+var needed = metrics.NewCounter("toucan_legs_needed_total")
+
 // ending is what became of one shard.
 type ending struct {
 	shard  toucanshard.ID
@@ -25,6 +31,7 @@
 	if err != nil {
 		return nil, err
 	}
+	needed.Add(int(t.shards))
 	serves := c.Inventory.Serves(t.service, t.catalog, index)
 	ends := make(chan ending, t.shards)
 	missing := make([]toucanpb.Code, t.shards)
--- a/toucanstair/toucanquery/leg.go
+++ b/toucanstair/toucanquery/leg.go
@@ -11,7 +11,6 @@
 
 	"toucanstair.example/core/toucanfault"
 	"toucanstair.example/core/toucanpb"
-	"toucanstair.example/core/toucanreplica"
 	"toucanstair.example/core/toucanshard"
 	"toucanstair.example/core/toucanzone"
 )
@@ -109,7 +108,6 @@
 		}
 		defer c.Drainer.EndLeg()
 	}
-	start := time.Now()
 	defer func() {
 		if p := recover(); p != nil {
 			c.log().Error("leg panicked", zap.String("request", leg.GetQueryId()), zap.Any("panic", p), zap.Stack("stack"))
@@ -118,7 +116,6 @@
 		if result == nil {
 			result = refusal(leg, toucanfault.Unknown(toucanpb.Code_CODE_INTERNAL, "no result"))
 		}
-		c.observe(leg, result, time.Since(start))
 	}()
 	if z == c.Zone {
 		return c.Cell.Run(ctx, leg)
@@ -184,21 +181,6 @@
 	return &toucanpb.LegResult{Shard: leg.GetShard(), Index: leg.GetIndex(), Outcome: outcome, Code: f.Code, Detail: f.Error()}
 }
 
-// observe reports a leg to the judge, under the version of the replica that
-// served it if that is known.
-func (c *Coordinator) observe(leg *toucanpb.Leg, r *toucanpb.LegResult, took time.Duration) {
-	if c.Judge == nil {
-		return
-	}
-	version := leg.GetVersion()
-	if catalog := c.Keeper.Catalog(); catalog != nil && r.GetReplica() != "" {
-		if replica, _ := catalog.Replica(toucanreplica.ID(r.GetReplica())); replica != nil {
-			version = replica.GetVersion()
-		}
-	}
-	c.Judge.Observe(serviceOf(leg), version, leg.GetRoute(), verify(leg, r), took)
-}
-
 // traceparent returns the W3C trace context of ctx, "" when it has none.
 func traceparent(ctx context.Context) string {
 	carrier := propagation.MapCarrier{}
--- a/toucanstair/toucanquery/query.go
+++ b/toucanstair/toucanquery/query.go
@@ -48,9 +48,10 @@
 	Contacts(toucanzone.Name) []*toucanpb.Member
 }
 
+// judge chooses the version; the owners of the slots report the responses to it,
+// so that a leg counts once.
 type judge interface {
 	Version(s toucanservice.Name, request string) string
-	Observe(s toucanservice.Name, version, route string, code toucanpb.Code, took time.Duration)
 }
 
 type claims interface {
