Run the simulated moves in parallel

The tests took 128 s under the race detector one after the other. The failures among the last responses are counted instead of scanned for each response.

--- a/toucanstair/toucanmove/judge_test.go
+++ b/toucanstair/toucanmove/judge_test.go
@@ -186,13 +186,23 @@
 	return map[toucanpb.MoveState_Phase]int{p: hosts}
 }
 
+// seeds runs body for seeds 0 to n-1 in parallel.
+func seeds(t *testing.T, name string, n uint64, body func(t *testing.T, seed uint64)) {
+	for seed := range n {
+		t.Run(fmt.Sprint(name, "/", seed), func(t *testing.T) {
+			t.Parallel()
+			body(t, seed)
+		})
+	}
+}
+
 // Guards against a good version that is taken back by chance or is late.
 func TestGoodMoveFinishesByDeadline(t *testing.T) {
-	for seed := range uint64(12) {
+	seeds(t, "sound", 12, func(t *testing.T, seed uint64) {
 		f := run(t, seed, deadline, 10, sound, nil)
 		require.Equal(t, everywhere(toucanpb.MoveState_PHASE_DONE), f.phases(), "seed %d: %v", seed, f.judges[0].Status())
 		require.Equal(t, toucanpb.MoveState_PHASE_DONE, f.store.state(t).GetPhase())
-	}
+	})
 }
 
 // Guards against a bad version that gets traffic 5 s after its faults show, or
@@ -226,7 +236,7 @@
 			return fail || isNew && at > 70*time.Second && rng.IntN(10) < 2, took
 		}},
 	} {
-		for seed := range uint64(4) {
+		seeds(t, name, 4, func(t *testing.T, seed uint64) {
 			f := run(t, seed, deadline, 20, c.is, nil)
 			require.Equal(t, everywhere(toucanpb.MoveState_PHASE_BACK), f.phases(), "%s, seed %d: %v", name, seed, f.judges[0].Status())
 			require.Equal(t, toucanpb.MoveState_PHASE_BACK, f.store.state(t).GetPhase(), name)
@@ -238,7 +248,7 @@
 				require.Less(t, float64(len(f.newAt)), 0.03*float64(f.total), name)
 			}
 			t.Logf("%s, seed %d: last request %v after the faults show: %s", name, seed, f.newAt[len(f.newAt)-1]-shows, f.judges[1].Status()[0].GetReason())
-		}
+		})
 	}
 }
 
@@ -263,10 +273,10 @@
 			return fail || h == 2 && within(at) && rng.IntN(2) == 0, took
 		},
 	} {
-		for seed := range uint64(8) {
+		seeds(t, name, 8, func(t *testing.T, seed uint64) {
 			f := run(t, seed, deadline, 10, is, nil)
 			require.Equal(t, everywhere(toucanpb.MoveState_PHASE_DONE), f.phases(), "%s, seed %d: %v", name, seed, f.judges[0].Status())
-		}
+		})
 	}
 }
 
--- a/toucanstair/toucanmove/route.go
+++ b/toucanstair/toucanmove/route.go
@@ -52,6 +52,7 @@
 	seen      pair
 	last      [fastResponses]recent
 	filled    int // responses of the new version, of which the last are in last
+	failed    int // failures in last
 	hist      [2][buckets]uint32
 	held      [2]uint32
 	rotated   time.Time
@@ -62,7 +63,7 @@
 func (r *route) reset() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.seen, r.filled = pair{}, 0
+	r.seen, r.filled, r.failed = pair{}, 0, 0
 }
 
 func (r *route) pair() pair {
@@ -78,7 +79,14 @@
 	c := &r.seen.old
 	if isNew {
 		c = &r.seen.new
-		r.last[r.filled%fastResponses] = recent{fail, r.seen.old}
+		at := &r.last[r.filled%fastResponses]
+		if r.filled >= fastResponses && at.fail {
+			r.failed--
+		}
+		if fail {
+			r.failed++
+		}
+		*at = recent{fail, r.seen.old}
 		r.filled++
 	}
 	c.answers++
@@ -98,16 +106,10 @@
 // fast compares the last responses of the new version with those of the old
 // version since the first of them. On a host with a bad network both fail.
 func (r *route) fast() string {
-	n := min(r.filled, fastResponses)
-	var fails uint64
-	for i := range n {
-		if r.last[i].fail {
-			fails++
-		}
-	}
-	if fails < fastFailures {
+	if r.failed < fastFailures {
 		return ""
 	}
+	n, fails := min(r.filled, fastResponses), uint64(r.failed)
 	first := r.last[0]
 	if r.filled > fastResponses {
 		first = r.last[r.filled%fastResponses]
