Add the membership manager of a zone

A host joins its zone's view, renews its lease by heartbeats and takes part in removals. Removal asks that the voters left cannot form a majority: with 4 voters and 2 promises a member could neither renew nor be removed (seed 2 of TestRandomFaults, no user of a slot 15 s after healing).

--- /dev/null
+++ b/toucanstair/toucanmember/manager_test.go
@@ -0,0 +1,350 @@
+package toucanmember
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"toucanstair.example/core/toucanfault"
+	"toucanstair.example/core/toucanpb"
+)
+
+const (
+	step  = 20 * time.Millisecond
+	limit = 15 * time.Second
+)
+
+// trial checks a world step by step. Legs stay at the target when their host
+// is paused or dies, so that they outlive their host's lease.
+type trial struct {
+	*testing.T
+	*world
+	legs map[slot]map[string]time.Time // by owner id, until when
+}
+
+func newTrial(t *testing.T, seed uint64) *trial {
+	return &trial{T: t, world: newWorld(seed), legs: map[slot]map[string]time.Time{}}
+}
+
+// run checks for d, and returns early once done returns true.
+func (r *trial) run(d time.Duration, done func() bool) bool {
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		<-time.After(step)
+		synctest.Wait()
+		r.check()
+		if done != nil && done() {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *trial) users(s slot) []*proc {
+	return slices.DeleteFunc(r.running("z"), func(p *proc) bool {
+		return r.isPaused(p) || !p.MayUse(s.replica, s.number) || !p.LeaseHeld()
+	})
+}
+
+// check guards against two hosts that may use one slot, and against a leg of
+// one host that starts while a leg of another is in flight on the slot.
+func (r *trial) check() {
+	now := time.Now()
+	for _, s := range slots() {
+		if r.legs[s] == nil {
+			r.legs[s] = map[string]time.Time{}
+		}
+		users := r.users(s)
+		if len(users) > 1 {
+			r.Fatalf("slot %v: %s (view %d) and %s (view %d) may both use it", s, users[0].id(), users[0].View().Number(), users[1].id(), users[1].View().Number())
+		}
+		for _, p := range users {
+			id := string(p.id())
+			for other, until := range r.legs[s] {
+				if other != id && now.Before(until) {
+					r.Fatalf("slot %v: %s sends while a leg of %s is in flight for %v more", s, id, other, until.Sub(now))
+				}
+			}
+			if now.After(r.legs[s][id]) && r.rnd.IntN(4) == 0 {
+				r.legs[s][id] = now.Add(time.Duration(r.rnd.Int64N(int64(defaultLeg))))
+			}
+		}
+	}
+	for _, p := range r.running("z") {
+		if !r.isPaused(p) && !r.hasLostLegs(p, now) {
+			p.SetReleased(p.View().Number())
+		}
+	}
+}
+
+func (r *trial) hasLostLegs(p *proc, now time.Time) bool {
+	for s, legs := range r.legs {
+		o, _ := p.Owner(s.replica, s.number)
+		if now.Before(legs[string(p.id())]) && o.GetId() != string(p.id()) {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *trial) isPaused(p *proc) bool { return !r.paused[p.set.Name].IsZero() }
+
+func (r *trial) allOwned() bool {
+	for _, s := range slots() {
+		if len(r.users(s)) != 1 {
+			return false
+		}
+	}
+	return true
+}
+
+// disturb makes one random change to the world.
+func (r *trial) disturb(names []string) {
+	a, b := names[r.rnd.IntN(len(names))], names[r.rnd.IntN(len(names))]
+	if r.rnd.IntN(4) == 0 {
+		b = storeName
+	}
+	switch r.rnd.IntN(10) {
+	case 0:
+		r.set(func() { r.cut[[2]string{a, b}] = true })
+	case 1:
+		r.set(func() { r.cut[[2]string{a, b}], r.cut[[2]string{b, a}] = true, true })
+	case 2:
+		r.set(func() {
+			for _, n := range names {
+				r.cut[[2]string{a, n}], r.cut[[2]string{n, a}] = true, true
+			}
+		})
+	case 3, 4:
+		r.set(func() { clear(r.cut) })
+	case 5, 6:
+		r.pause(a)
+	case 7:
+		r.kill(a)
+	case 8:
+		r.set(func() { r.down = !r.down; r.loss = float64(r.rnd.IntN(3)) * 0.1; r.noise = r.loss })
+	case 9:
+		if r.procs[a] == nil {
+			r.start(a, "z", "y0")
+		}
+	}
+}
+
+// pause stops or resumes a process. A host of a larger zone that was paused
+// for the term of its lease must not be able to send on waking.
+func (r *trial) pause(name string) {
+	p := r.procs[name]
+	if p == nil {
+		return
+	}
+	if at := r.paused[name]; !at.IsZero() {
+		if time.Since(at) >= p.set.Term && len(p.View().Members()) > 1 {
+			require.False(r, p.LeaseHeld(), "a paused host holds its lease on waking")
+		}
+		r.set(func() { delete(r.paused, name) })
+		return
+	}
+	r.set(func() { r.paused[name] = time.Now() })
+}
+
+func seeds(t *testing.T) []uint64 {
+	if s := os.Getenv("TOUCAN_SEED"); s != "" {
+		n, err := strconv.ParseUint(s, 10, 64)
+		require.NoError(t, err)
+		return []uint64{n}
+	}
+	n, _ := strconv.Atoi(os.Getenv("TOUCAN_RUNS"))
+	var out []uint64
+	for i := range max(n, 20) {
+		out = append(out, uint64(i+1))
+	}
+	return out
+}
+
+// Guards against two users of a slot, and against a slot without a user 15 s
+// after healing, under random cuts, pauses, crashes, losses and outages.
+func TestRandomFaults(t *testing.T) {
+	for _, seed := range seeds(t) {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				r := newTrial(t, seed)
+				defer r.stop()
+				names := r.zones(2 + int(seed%5))
+				for range 40 {
+					r.run(time.Duration(r.rnd.Int64N(int64(4*time.Second))), nil)
+					r.disturb(names)
+				}
+				r.heal()
+				for _, n := range names {
+					if r.procs[n] == nil {
+						r.start(n, "z", "y0")
+					}
+				}
+				healed := time.Now()
+				require.True(t, r.run(limit, r.allOwned), "a slot has no user 15 s after healing: %v", r.state())
+				t.Logf("healed in %v", time.Since(healed))
+			})
+		})
+	}
+}
+
+// zones starts n hosts of zone z and three of zone y, and waits until they
+// serve.
+func (r *trial) zones(n int) []string {
+	for i := range 3 {
+		r.start(fmt.Sprint("y", i), "y", "z0")
+	}
+	r.run(3*time.Second, nil)
+	var names []string
+	for i := range n {
+		names = append(names, fmt.Sprint("z", i))
+		r.start(names[i], "z", "y0")
+	}
+	require.True(r, r.run(limit, func() bool {
+		return r.allOwned() && len(r.running("z")[0].View().Members()) == n
+	}), "no start: %v", r.state())
+	r.run(3*time.Second, nil)
+	return names
+}
+
+func (r *trial) state() []string {
+	var out []string
+	for _, p := range r.running("z") {
+		out = append(out, fmt.Sprint(p.id(), " joined ", p.Joined(), " view ", p.View().Number(), " members ", len(p.View().Members()),
+			" lease ", p.LeaseHeld(), " released ", p.released.Load(), " paused ", r.paused[p.set.Name]))
+	}
+	for _, s := range slots() {
+		for _, p := range r.running("z") {
+			if o, ok := p.Owner(s.replica, s.number); ok && o.GetId() == string(p.id()) && !p.MayUse(s.replica, s.number) {
+				out = append(out, fmt.Sprint(s, " not free for ", p.id()))
+			}
+		}
+	}
+	return out
+}
+
+func scenario(t *testing.T, n int, f func(r *trial, names []string)) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newTrial(t, 1)
+		defer r.stop()
+		f(r, r.zones(n))
+	})
+}
+
+// Guards against leases that depend on the store.
+func TestStoreOutageChangesNothing(t *testing.T) {
+	scenario(t, 4, func(r *trial, _ []string) {
+		r.set(func() { r.down = true })
+		r.run(time.Minute, func() bool {
+			require.True(r, r.allOwned())
+			return false
+		})
+	})
+}
+
+// Guards against a paused host that is lost for good: it comes back under its
+// id when it was not removed, and under a new one when it was.
+func TestPausedHost(t *testing.T) {
+	for _, down := range []bool{false, true} {
+		scenario(t, 3, func(r *trial, names []string) {
+			r.set(func() { r.down = down })
+			id := r.procs[names[0]].id()
+			r.pause(names[0])
+			r.run(10*time.Second, nil)
+			require.Equal(r, !down, r.procs[names[1]].View().Member(id) == nil)
+			if !down {
+				require.True(r, r.allOwned(), "the others did not take over: %v", r.state())
+			}
+			r.pause(names[0])
+			require.True(r, r.run(limit, func() bool { return r.procs[names[0]].LeaseHeld() && r.allOwned() }), r.state())
+			require.Equal(r, down, r.procs[names[0]].id() == id)
+		})
+	}
+}
+
+// Guards against slots that stay unused after a crash, a restart, or the loss
+// of the majority of a zone.
+func TestCrash(t *testing.T) {
+	scenario(t, 4, func(r *trial, names []string) {
+		r.kill(names[0])
+		require.True(r, r.run(10*time.Second, r.gone(names[0])), r.state())
+		r.kill(names[1])
+		r.start(names[1], "z", "y0")
+		require.True(r, r.run(8*time.Second, r.allOwned), r.state())
+		r.kill(names[1])
+		r.kill(names[2])
+		require.True(r, r.run(time.Minute, r.allOwned), r.state())
+	})
+}
+
+func (r *trial) gone(name string) func() bool {
+	return func() bool { return r.allOwned() && r.running("z")[0].View().Named(name) == nil }
+}
+
+// Guards against a leaving host whose slots wait for a lease, and against a
+// Leave that does not end when the store is down.
+func TestLeave(t *testing.T) {
+	scenario(t, 4, func(r *trial, names []string) {
+		r.legs = map[slot]map[string]time.Time{}
+		require.NoError(r, r.procs[names[0]].Leave(r.Context()))
+		r.kill(names[0])
+		require.True(r, r.run(3*time.Second, r.gone(names[0])), r.state())
+		r.set(func() { r.down = true })
+		start := time.Now()
+		require.Error(r, r.procs[names[1]].Leave(r.Context()))
+		require.Less(r, time.Since(start), defaultFarewell+callLimit+time.Second)
+		require.False(r, r.procs[names[1]].LeaseHeld())
+	})
+}
+
+// Guards against a 2-host zone that one failure stops although its witness
+// lives, and against two halves that both go on when all are cut off.
+func TestTwoHosts(t *testing.T) {
+	scenario(t, 2, func(r *trial, names []string) {
+		w := r.procs[names[0]].View().Witness()
+		require.NotNil(r, w)
+		r.kill(w.GetName())
+		require.True(r, r.run(30*time.Second, func() bool {
+			next := r.procs[names[0]].View().Witness()
+			return next != nil && next.GetId() != w.GetId()
+		}), "a dead witness stays")
+		// A host that dies before anybody knows that it holds the new view could
+		// still be acknowledged by the old witness.
+		r.run(2*time.Second, nil)
+		r.kill(names[0])
+		require.True(r, r.run(10*time.Second, r.gone(names[0])), r.state())
+		r.start(names[0], "z", "y1")
+		require.True(r, r.run(limit, func() bool { return r.allOwned() && r.procs[names[1]].View().Witness() != nil }), r.state())
+		for _, a := range names {
+			for _, b := range []string{names[0], names[1], "y0", "y1", "y2", storeName} {
+				r.set(func() { r.cut[[2]string{a, b}], r.cut[[2]string{b, a}] = true, true })
+			}
+		}
+		r.run(4*time.Second, nil)
+		assert.False(r, r.procs[names[0]].LeaseHeld())
+		assert.False(r, r.procs[names[1]].LeaseHeld())
+	})
+}
+
+// Guards against two processes of one name that replace each other for ever.
+func TestReplacedProcessEnds(t *testing.T) {
+	scenario(t, 3, func(r *trial, names []string) {
+		old := r.procs[names[0]]
+		r.start(names[0], "z", "y0")
+		require.True(r, r.run(limit, func() bool { return len(old.done) > 0 }))
+		err := <-old.done
+		r.all = slices.DeleteFunc(r.all, func(p *proc) bool { return p == old })
+		f := toucanfault.As(err)
+		require.NotNil(r, f)
+		assert.Equal(r, toucanpb.Code_CODE_CONFLICT, f.Code)
+		assert.False(r, old.LeaseHeld())
+		old.cancel()
+	})
+}
--- /dev/null
+++ b/toucanstair/toucanmember/settings.go
@@ -0,0 +1,106 @@
+package toucanmember
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"toucanstair.example/core/toucanpb"
+	"toucanstair.example/core/toucanzone"
+	"toucanstair.example/toucanstair/toucanlease"
+	"toucanstair.example/toucanstair/toucanview"
+)
+
+// Store is what the manager needs of the platform's store.
+type Store interface {
+	Get(ctx context.Context, key string) (*toucanpb.Entry, error)
+	List(ctx context.Context, prefix string) ([]*toucanpb.Entry, error)
+	Put(ctx context.Context, key string, value []byte, prev uint64, lease string) (uint64, error)
+	Hosts(ctx context.Context) ([]*toucanpb.HostStatus, error)
+}
+
+// Contributor adds its part to each heartbeat and reply, and takes in the
+// part that other hosts sent. The manager calls it from many goroutines.
+type Contributor interface {
+	Offer(to *toucanpb.Member, g *toucanpb.Gossip)
+	Accept(from *toucanpb.Member, g *toucanpb.Gossip)
+}
+
+// Settings are what a Manager is built from. Name, Zone, Address, Store and
+// Dial are required; the other fields have defaults.
+type Settings struct {
+	Name    string
+	Zone    toucanzone.Name
+	Address string // of the peer listener, ip:port
+
+	Store        Store
+	Dial         func(address string) (toucanpb.PeerClient, error)
+	Seeds        func() []string // peer addresses of hosts of other zones
+	Contributors []Contributor
+	Changed      func(toucanview.View) // called after each view change, one at a time
+	Log          *zap.Logger
+
+	Beat     time.Duration // between heartbeats to the voters; 500 ms
+	Term     time.Duration // of the lease, the same on all hosts; 3 s
+	Leg      time.Duration // longest leg; 2 s
+	Silence  time.Duration // before a member is suspected; 2 s
+	Gone     time.Duration // absence from the host list that counts as a promise; 30 s
+	Reread   time.Duration // mean interval of store reads by the watching members; 4 s
+	Farewell time.Duration // limit of Leave; 3 s
+	Seed     uint64        // of random choices; random when zero
+}
+
+const (
+	defaultBeat     = 500 * time.Millisecond
+	defaultLeg      = 2 * time.Second
+	defaultSilence  = 2 * time.Second
+	defaultGone     = 30 * time.Second
+	defaultReread   = 4 * time.Second
+	defaultFarewell = 3 * time.Second
+
+	callLimit  = time.Second     // of one call to a peer
+	storeLimit = 2 * time.Second // of one call to the store
+
+	// A tick that is later than this means that the process was paused, and
+	// that the silence of others may be its own.
+	stall = time.Second
+
+	// Members that do not watch the store read it this seldom: 3,900 hosts make
+	// 65 reads a second.
+	idleReread = time.Minute
+
+	contactEvery = time.Second      // one other zone each time
+	witnessLimit = 10 * time.Second // silence after which a witness is replaced
+	maxContacts  = 8                // kept for each other zone
+	awaitedLimit = 16               // members asked for their release in one round
+	retryFirst   = time.Second      // between attempts to remove a member
+	retryLast    = 4 * time.Second
+	peerMemory   = 10 * time.Minute // for which hosts outside of the view are remembered
+	watchers     = 2
+)
+
+func (s Settings) withDefaults() Settings {
+	fill := func(d *time.Duration, v time.Duration) {
+		if *d <= 0 {
+			*d = v
+		}
+	}
+	fill(&s.Beat, defaultBeat)
+	fill(&s.Term, toucanlease.DefaultTerm)
+	fill(&s.Leg, defaultLeg)
+	fill(&s.Silence, defaultSilence)
+	fill(&s.Gone, defaultGone)
+	fill(&s.Reread, defaultReread)
+	fill(&s.Farewell, defaultFarewell)
+	if s.Log == nil {
+		s.Log = zap.NewNop()
+	}
+	if s.Seeds == nil {
+		s.Seeds = func() []string { return nil }
+	}
+	if s.Changed == nil {
+		s.Changed = func(toucanview.View) {}
+	}
+	return s
+}
--- a/toucanstair/toucanview/view.go
+++ b/toucanstair/toucanview/view.go
@@ -184,9 +184,12 @@
 	return out, true
 }
 
-// MayRemove reports whether a member may be removed from the view: a majority
-// of its voters under every view that it may hold has promised never to
-// acknowledge it again. held is the last view that it is known to hold.
+// MayRemove reports whether a member may be removed from the view: under every
+// view that it may hold, the voters that have not promised never to acknowledge
+// it again are no majority, so it cannot renew its lease. With an odd number of
+// voters this asks for the promises of a majority; with an even number for half,
+// because otherwise a member with half of the promises could neither renew its
+// lease nor be removed. held is the last view that it is known to hold.
 func (v View) MayRemove(id toucanhost.ID, promised map[toucanhost.ID]bool, held uint64) bool {
 	if v.Member(id) == nil {
 		return false
@@ -197,12 +200,12 @@
 	}
 	for _, w := range span {
 		voters := w.Voters(id)
-		agreed := make(map[toucanhost.ID]bool, len(voters))
+		free := make(map[toucanhost.ID]bool, len(voters))
 		for _, m := range voters {
 			voter := toucanhost.ID(m.GetId())
-			agreed[voter] = promised[voter] || v.ended(m)
+			free[voter] = !promised[voter] && !v.ended(m)
 		}
-		if !IsMajority(voters, agreed) {
+		if IsMajority(voters, free) {
 			return false
 		}
 	}
