--- a/toucanstair/toucanmember/manager_test.go
+++ b/toucanstair/toucanmember/manager_test.go
@@ -93,7 +93,7 @@
 	return false
 }
 
-func (r *trial) isPaused(p *proc) bool { return !r.paused[p.set.Name].IsZero() }
+func (r *trial) isPaused(p *proc) bool { return r.paused[p.set.Name].over != nil }
 
 func (r *trial) allOwned() bool {
 	for _, s := range slots() {
@@ -143,14 +143,14 @@
 	if p == nil {
 		return
 	}
-	if at := r.paused[name]; !at.IsZero() {
-		if time.Since(at) >= p.set.Term && len(p.View().Members()) > 1 {
+	if n, ok := r.paused[name]; ok {
+		if time.Since(n.start) >= p.set.Term && len(p.View().Members()) > 1 {
 			require.False(r, p.LeaseHeld(), "a paused host holds its lease on waking")
 		}
-		r.set(func() { delete(r.paused, name) })
+		r.set(func() { r.resume(name) })
 		return
 	}
-	r.set(func() { r.paused[name] = time.Now() })
+	r.set(func() { r.paused[name] = nap{time.Now(), make(chan struct{})} })
 }
 
 func seeds(t *testing.T) []uint64 {
@@ -218,7 +218,7 @@
 	var out []string
 	for _, p := range r.running("z") {
 		out = append(out, fmt.Sprint(p.id(), " joined ", p.Joined(), " view ", p.View().Number(), " members ", len(p.View().Members()),
-			" lease ", p.LeaseHeld(), " released ", p.released.Load(), " paused ", r.paused[p.set.Name]))
+			" lease ", p.LeaseHeld(), " released ", p.released.Load(), " paused ", r.isPaused(p)))
 	}
 	for _, s := range slots() {
 		for _, p := range r.running("z") {
--- a/toucanstair/toucanmember/world_test.go
+++ b/toucanstair/toucanmember/world_test.go
@@ -26,7 +26,7 @@
 	all    []*proc
 	procs  map[string]*proc // by name, which is the address too
 	cut    map[[2]string]bool
-	paused map[string]time.Time
+	paused map[string]nap
 	listed map[string]time.Time // last alive
 	loss   float64
 	lag    time.Duration // longest delay of a message
@@ -53,7 +53,7 @@
 
 func newWorld(seed uint64) *world {
 	return &world{
-		rnd: rand.New(rand.NewPCG(seed, 7)), procs: map[string]*proc{}, cut: map[[2]string]bool{}, paused: map[string]time.Time{},
+		rnd: rand.New(rand.NewPCG(seed, 7)), procs: map[string]*proc{}, cut: map[[2]string]bool{}, paused: map[string]nap{},
 		listed: map[string]time.Time{}, store: map[string]*toucanpb.Entry{}, lag: 5 * time.Millisecond,
 	}
 }
@@ -80,7 +80,7 @@
 	w.mu.Lock()
 	p := w.procs[name]
 	delete(w.procs, name)
-	delete(w.paused, name)
+	w.resume(name)
 	w.mu.Unlock()
 	if p != nil {
 		p.cancel()
@@ -115,7 +115,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	clear(w.cut)
-	clear(w.paused)
+	for n := range w.paused {
+		w.resume(n)
+	}
 	w.down, w.loss, w.noise = false, 0, 0
 }
 
@@ -125,6 +127,19 @@
 	f()
 }
 
+// nap is the pause of a process.
+type nap struct {
+	start time.Time
+	over  chan struct{}
+}
+
+func (w *world) resume(name string) {
+	if n, ok := w.paused[name]; ok {
+		close(n.over)
+		delete(w.paused, name)
+	}
+}
+
 // wire is one host's connection to another host or to the store.
 type wire struct {
 	w        *world
@@ -132,14 +147,11 @@
 }
 
 func (c wire) awake(name string) {
-	for {
-		c.w.mu.Lock()
-		_, p := c.w.paused[name]
-		c.w.mu.Unlock()
-		if !p {
-			return
-		}
-		<-time.After(5 * time.Millisecond)
+	c.w.mu.Lock()
+	n, paused := c.w.paused[name]
+	c.w.mu.Unlock()
+	if paused {
+		<-n.over
 	}
 }
 
