--- a/core/toucandeploy/deployment.go
+++ b/core/toucandeploy/deployment.go
@@ -162,7 +162,7 @@
 	const free = "127.0.0.1:0"
 	args := []string{
 		"--name", h.Name, "--zone", string(h.Zone), "--store", d.Store.Address,
-		"--callers", cmp.Or(h.Callers, free), "--peers", cmp.Or(h.Peers, free), "--ops", cmp.Or(h.Ops, free),
+		"--report", "--callers", cmp.Or(h.Callers, free), "--peers", cmp.Or(h.Peers, free), "--ops", cmp.Or(h.Ops, free),
 	}
 	program := d.program("toucanstair", h.Name, append(args, d.Plan.Args...)...)
 	program.Env = d.Plan.Env
