--- a/toucanstair/toucanclaim/claims_test.go
+++ b/toucanstair/toucanclaim/claims_test.go
@@ -192,6 +192,7 @@
 		require.True(t, ok)
 	}
 	_, err := c.Take(t.Context(), "s", "k", "16")
+	require.Error(t, err)
 	require.Equal(t, toucanpb.Code_CODE_DUPLICATE, toucanfault.As(err).Code)
 	require.Equal(t, toucanpb.Outcome_OUTCOME_NOTRUN, toucanfault.As(err).Outcome)
 }
