--- a/toucanctl/main.go
+++ b/toucanctl/main.go
@@ -5,10 +5,10 @@
 	"context"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
-	"toucanstair.example/core/toucanfault"
-	"toucanstair.example/core/toucanpb"
+	"toucanstair.example/core/toucanstorage"
 	"toucanstair.example/toucanctl/toucanoperator"
 )
 
@@ -20,7 +20,8 @@
 	os.Exit(code)
 }
 
-// open is where the client of the platform's store is connected.
-func open(string) (toucanoperator.Store, error) {
-	return nil, toucanfault.NotRun(toucanpb.Code_CODE_STORE, "this build has no store client")
+// open returns a client of the platform's store at "ip:port" addresses
+// separated by commas.
+func open(addresses string) (toucanoperator.Store, error) {
+	return toucanstorage.New(strings.Split(addresses, ","), nil), nil
 }
