--- a/integration/doc.go
+++ b/integration/doc.go
@@ -1,4 +1,3 @@
-// Package integration holds the tests that start real processes.
+// Package integration holds the tests that start real processes and inject
+// faults between them.
 package integration
-
-import _ "toucanstair.example/core/toucanfault"
