--- a/toucanstair/toucanquery/once.go
+++ b/toucanstair/toucanquery/once.go
@@ -82,5 +82,3 @@
 	n, _ := strconv.ParseUint(first, 10, 32) // a node written above
 	return toucanshard.ID(n)
 }
-
-func serviceOf(leg *toucanpb.Leg) toucanservice.Name { return toucanservice.Name(leg.GetService()) }
