--- a/toucanstair/toucancommand/command_test.go
+++ b/toucanstair/toucancommand/command_test.go
@@ -113,7 +113,7 @@
 	require.Equal(t, http.StatusServiceUnavailable, status)
 	status, body = get(t, http.MethodGet, "http://"+at.Ops+"/metrics")
 	require.Equal(t, http.StatusOK, status)
-	require.Contains(t, body, `toucanstair_refusals_total{code="config",outcome="notrun"}`)
+	require.Contains(t, body, `toucan_refusals_total{code="config",outcome="notrun"}`)
 	signals <- syscall.SIGTERM
 	require.Equal(t, 0, <-code)
 	require.Contains(t, log.String(), `"phase":"lingering"`)
--- a/toucanstair/toucancommand/process.go
+++ b/toucanstair/toucancommand/process.go
@@ -107,6 +107,8 @@
 	ops := p.server.Serve(ctx, p.ops)
 	peers := p.node.peers.Run(ctx, p.peers)
 	parts, failed := p.watch(p.node.start(ctx))
+	gauges := newGauges(p.node)
+	defer gauges.close()
 	p.log.Info("serving", zap.Stringer("callers", p.callers.Addr()), zap.Stringer("peers", p.peers.Addr()), zap.Stringer("ops", p.ops.Addr()))
 	var err error
 	select {
--- a/toucanstair/toucanfrontend/frontend.go
+++ b/toucanstair/toucanfrontend/frontend.go
@@ -73,9 +73,9 @@
 }
 
 var (
-	seconds = metrics.NewHistogram("toucanstair_query_seconds")
-	full    = metrics.NewCounter(`toucanstair_responses_total{coverage="full"}`)
-	partial = metrics.NewCounter(`toucanstair_responses_total{coverage="partial"}`)
+	seconds = metrics.NewHistogram("toucan_query_seconds")
+	full    = metrics.NewCounter(`toucan_responses_total{coverage="full"}`)
+	partial = metrics.NewCounter(`toucan_responses_total{coverage="partial"}`)
 )
 
 // Serve accepts callers on l until Shutdown or the end of ctx, and then reports
@@ -209,7 +209,7 @@
 		partial.Inc()
 	}
 	for _, m := range a.GetCoverage().GetMissing() {
-		metrics.GetOrCreateCounter(fmt.Sprintf("toucanstair_missing_total{reason=%q}", m.GetReason())).Inc()
+		metrics.GetOrCreateCounter(fmt.Sprintf("toucan_missing_total{reason=%q}", m.GetReason())).Inc()
 	}
 	write(w, http.StatusOK, body)
 }
@@ -219,7 +219,7 @@
 	if err != nil {
 		f.log().Error("encoding a refusal", zap.String("request", request), zap.Error(err))
 	}
-	metrics.GetOrCreateCounter(fmt.Sprintf("toucanstair_refusals_total{code=%q,outcome=%q}",
+	metrics.GetOrCreateCounter(fmt.Sprintf("toucan_refusals_total{code=%q,outcome=%q}",
 		toucanfault.CodeWord(e.Code), outcomeWord(e.Outcome))).Inc()
 	f.log().Debug("refusal", zap.String("request", request), zap.Int("status", status), zap.Error(e))
 	write(w, status, body)
