--- a/toucanstair/toucanmember/beat.go
+++ b/toucanstair/toucanmember/beat.go
@@ -54,6 +54,15 @@
 	}
 }
 
+// tellVoters sends one heartbeat to each of the voters that s lists.
+func (m *Manager) tellVoters(ctx context.Context, s *standing, group *sync.WaitGroup) {
+	for _, to := range s.voters {
+		if to.GetId() != string(s.self) {
+			group.Go(func() { m.beat(ctx, to) })
+		}
+	}
+}
+
 // beat sends one heartbeat and takes in the reply; nil when there is none.
 func (m *Manager) beat(ctx context.Context, to *toucanpb.Member) *toucanpb.BeatReply {
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
--- a/toucanstair/toucanmember/contact.go
+++ b/toucanstair/toucanmember/contact.go
@@ -105,6 +105,7 @@
 // beatContact sends a heartbeat to a host of the next zone in turn, and to one
 // seed address as long as a zone may be unknown.
 func (m *Manager) beatContact(ctx context.Context) {
+	seeds := m.set.Seeds()
 	m.mu.Lock()
 	var to *toucanpb.Member
 	if zones := m.zones(); len(zones) > 0 {
@@ -113,7 +114,6 @@
 		to = best[m.rnd.IntN(min(len(best), 3))]
 	}
 	known := len(m.contacts)
-	seeds := m.set.Seeds()
 	var seed string
 	if len(seeds) > 0 && (known == 0 || m.rnd.IntN(10) == 0) {
 		seed = seeds[m.rnd.IntN(len(seeds))]
--- a/toucanstair/toucanmember/loop.go
+++ b/toucanstair/toucanmember/loop.go
@@ -226,7 +226,8 @@
 	m.SetLeaving()
 	var group sync.WaitGroup
 	defer group.Wait()
-	m.beatRound(ctx, &group)
+	s := m.standing.Load()
+	m.tellVoters(ctx, s, &group)
 	m.mu.Lock()
 	m.left.Store(true) // under mu, so that no acknowledgement is under way
 	m.lease.Drop()
@@ -234,6 +235,8 @@
 	for {
 		err := m.leaveOnce(ctx)
 		if err == nil {
+			// Nobody else knows the new view before the watching members read it.
+			m.tellVoters(ctx, s, &group)
 			return nil
 		}
 		m.mu.Lock()
