--- a/toucanstair/toucanexchange/conn_test.go
+++ b/toucanstair/toucanexchange/conn_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -12,6 +13,7 @@
 	near, far := net.Pipe()
 	defer far.Close()
 	c := newConn(near)
+	require.NoError(t, near.SetWriteDeadline(time.Now().Add(time.Second)))
 	c.arm(nil)
 	require.True(t, c.seal())
 	_, err := c.Write([]byte("POST"))
--- a/toucanstair/toucanslot/table_test.go
+++ b/toucanstair/toucanslot/table_test.go
@@ -108,10 +108,11 @@
 					mu.Lock()
 					active++
 					most = max(most, active)
-					// Requests sent before the restart was seen and told end within 20 ms.
-					// The bound counts responses at the target, not at the tables.
-					if bound := min(3, 1+served/8); time.Since(restart) > 20*time.Millisecond && active > bound {
-						t.Errorf("%d requests at once after %d responses, seed %d", active, served, seed)
+					// The leader sees a restart within two requests of 4 ms and tells it in
+					// 2 ms; what others sent before ends 4 ms later. The bound is counted
+					// here and not taken from the tables.
+					if bound := min(3, 1+served/8); time.Since(restart) > 15*time.Millisecond && active > bound {
+						t.Errorf("%d requests at once after %d responses to the leader, seed %d", active, served, seed)
 						stop()
 					}
 					b := boot
@@ -120,7 +121,9 @@
 					<-time.After(took)
 					mu.Lock()
 					active--
-					served++
+					if table == ts[0] {
+						served++
+					}
 					mu.Unlock()
 					table.Note(replica, b, "ready")
 					permit.Done(true, took)
