Do not send a keyed leg to another owner after its claim was taken

Cause: the voided claim lists the attempt, so the retry was refused, with outcome unknown while the void was pending, although nothing had run. The leg now ends as notrun at once.

--- a/toucanstair/toucancell/cell.go
+++ b/toucanstair/toucancell/cell.go
@@ -268,17 +268,26 @@
 	if res.GetCode() == toucanpb.Code_CODE_UNSPECIFIED {
 		return true
 	}
-	// The first failure is kept, because a keyed retry after a claim was
-	// voided fails with a duplicate, which says less.
+	// The first failure is kept unless a later one may have run.
 	if r.failure == nil || r.failure.GetOutcome() == toucanpb.Outcome_OUTCOME_NOTRUN && res.GetOutcome() == toucanpb.Outcome_OUTCOME_UNKNOWN {
 		r.failure = res
 	}
-	if t.from != fromSettled && r.retryable(res) && ctx.Err() == nil {
+	if t.from != fromSettled && !r.claimed(t) && r.retryable(res) && ctx.Err() == nil {
 		r.extra(ctx, retries)
 	}
 	return false
 }
 
+// claimed reports whether an owner took the claim of a keyed leg. The claim is
+// voided in the background and lists the attempt, so no other owner may send
+// it; the caller may repeat the request as a new attempt.
+func (r *run) claimed(t try) bool {
+	if !r.leg.GetOnce() || r.leg.GetKey() == "" || t.from != fromOwner {
+		return false
+	}
+	return t.result.GetSent() > 0 || t.result.GetCode() == toucanpb.Code_CODE_DOWN
+}
+
 func (r *run) retryable(res *toucanpb.LegResult) bool {
 	if r.leg.GetOnce() && res.GetOutcome() != toucanpb.Outcome_OUTCOME_NOTRUN {
 		return false
--- a/toucanstair/toucancell/cell_test.go
+++ b/toucanstair/toucancell/cell_test.go
@@ -225,6 +225,17 @@
 		require.Equal(t, c.code, res.GetCode(), c.mode)
 		require.Equal(t, c.seen, seen.Load(), c.mode)
 	}
+
+	// The claim of a refused request is voided, and no other owner gets it.
+	released := new(atomic.Int64)
+	f.Claims = voider{released: released}
+	mode, once.Key = "refuse", "k"
+	seen.Store(0)
+	res := f.Run(t.Context(), once)
+	require.Equal(t, toucanpb.Code_CODE_REFUSED, res.GetCode())
+	require.Equal(t, toucanpb.Outcome_OUTCOME_NOTRUN, res.GetOutcome())
+	require.EqualValues(t, 1, seen.Load())
+	require.EqualValues(t, 1, released.Load())
 }
 
 // Guards against a leg that is reported as not run but reached a target.
@@ -268,17 +279,21 @@
 	return nil, toucanfault.Unknown(toucanpb.Code_CODE_DOWN, "lost")
 }
 
-// voider voids every claim or none.
+// voider gives every claim, and voids every claim or none.
 type voider struct {
-	toucancell.Claims
-	free bool
+	free     bool
+	released *atomic.Int64
+}
+
+func (v voider) Take(context.Context, toucanservice.Name, string, string) (*toucanclaim.Claim, error) {
+	return &toucanclaim.Claim{}, nil
 }
 
 func (v voider) Void(context.Context, toucanservice.Name, string, string) (bool, error) {
 	return v.free, nil
 }
 
-func (voider) Release(*toucanclaim.Claim) {}
+func (v voider) Release(*toucanclaim.Claim) { v.released.Add(1) }
 
 // Guards against a lost owner's request reported as not run without a void
 // claim, and against sending it to another owner.
--- a/toucanstair/toucancell/serve.go
+++ b/toucanstair/toucancell/serve.go
@@ -67,6 +67,11 @@
 	f := toucanfault.As(err)
 	if claim != nil && f != nil && f.Outcome == toucanpb.Outcome_OUTCOME_NOTRUN {
 		c.Claims.Release(claim)
+		if f.Code == toucanpb.Code_CODE_LEASE {
+			// CODE_LEASE would send the leg to the next owner, which the claim forbids.
+			f = toucanfault.NotRun(toucanpb.Code_CODE_DOWN, "lease lost after the claim").Because(f)
+			err = f
+		}
 	}
 	c.note(id, service, replica, leg, reply, f)
 	permit.Done(err == nil, reply.Took)
