--- a/core/toucandeploy/deployment.go
+++ b/core/toucandeploy/deployment.go
@@ -67,8 +67,10 @@
 	Name    string                `json:"-"`
 	Zone    toucanzone.Name       `json:"-"`
 	Callers string                `json:"callers"`
-	Peers   string                `json:"peers"`
-	Ops     string                `json:"ops"`
+	// Advertise is the peer address given to other hosts; Peers when empty.
+	Advertise string `json:"-"`
+	Peers     string `json:"peers"`
+	Ops       string `json:"ops"`
 }
 
 // New returns a deployment that is not started; log may be nil.
@@ -164,7 +166,14 @@
 		"--name", h.Name, "--zone", string(h.Zone), "--store", d.Store.Address,
 		"--report", "--callers", cmp.Or(h.Callers, free), "--peers", cmp.Or(h.Peers, free), "--ops", cmp.Or(h.Ops, free),
 	}
-	program := d.program("toucanstair", h.Name, append(args, d.Plan.Args...)...)
+	args = append(args, d.Plan.Args...)
+	if d.Plan.HostArgs != nil {
+		args = append(args, d.Plan.HostArgs(h)...)
+	}
+	if h.Advertise != "" {
+		args = append(args, "--advertise", h.Advertise)
+	}
+	program := d.program("toucanstair", h.Name, args...)
 	program.Env = d.Plan.Env
 	p, err := d.Launcher.Launch(ctx, program, h)
 	if err != nil {
--- a/core/toucandeploy/plan.go
+++ b/core/toucandeploy/plan.go
@@ -24,6 +24,10 @@
 	Rules     fs.FS    // templates of the configuration folder; nil for the built-in ones
 	Args      []string // added to the flags of every host
 	Env       []string // added to the environment of every host
+
+	// HostArgs is called before each start of a host and returns flags for
+	// this host, which override the others; it may set Advertise. Nil adds none.
+	HostArgs func(*Host) []string
 }
 
 // Zone is an availability zone.
--- a/core/toucandeploy/rules.go
+++ b/core/toucandeploy/rules.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"embed"
 	"io/fs"
 	"os"
@@ -77,7 +78,7 @@
 		zone := ZoneValues{Name: z.Name, Region: z.Region}
 		for _, h := range d.Hosts {
 			if h.Zone == z.Name {
-				zone.Seeds = append(zone.Seeds, h.Peers)
+				zone.Seeds = append(zone.Seeds, cmp.Or(h.Advertise, h.Peers))
 			}
 		}
 		v.Zones = append(v.Zones, zone)
--- a/core/toucanstorage/call.go
+++ b/core/toucanstorage/call.go
@@ -42,8 +42,11 @@
 	sent  bool               // a byte of the request may have been sent
 }
 
-func newHTTP() *http.Client {
+func newHTTP(source *net.TCPAddr) *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
+	if source != nil {
+		dialer.LocalAddr = source
+	}
 	return &http.Client{
 		Transport: &http.Transport{
 			DialContext:         dialer.DialContext,
--- a/core/toucanstorage/client.go
+++ b/core/toucanstorage/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -32,11 +33,15 @@
 
 // New returns a client of the store at the given "ip:port" addresses, which
 // serve the same data; log may be nil.
-func New(addresses []string, log *zap.Logger) *Client {
+func New(addresses []string, log *zap.Logger) *Client { return NewFrom(nil, addresses, log) }
+
+// NewFrom is New with the source address of connections; nil leaves it to the
+// system.
+func NewFrom(source *net.TCPAddr, addresses []string, log *zap.Logger) *Client {
 	if log == nil {
 		log = zap.NewNop()
 	}
-	return &Client{addresses: addresses, http: newHTTP(), log: log}
+	return &Client{addresses: addresses, http: newHTTP(source), log: log}
 }
 
 // Get returns the entry of key, or nil when it is absent.
--- a/core/toucanstorage/client_test.go
+++ b/core/toucanstorage/client_test.go
@@ -87,3 +87,18 @@
 	_, err := c.Grant(t.Context(), time.Second)
 	require.Equal(t, toucanpb.Outcome_OUTCOME_NOTRUN, toucanfault.As(err).Outcome)
 }
+
+// Guards against store connections of a multi-homed host that leave from an
+// address other than the one it is given.
+func TestSourceAddress(t *testing.T) {
+	var remote string
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		remote, _, _ = net.SplitHostPort(r.RemoteAddr)
+		fmt.Fprint(w, `{"entries":[],"revision":1}`)
+	}))
+	defer server.Close()
+	source := &net.TCPAddr{IP: net.IPv4(127, 0, 9, 4)}
+	_, err := toucanstorage.NewFrom(source, []string{server.Listener.Addr().String()}, nil).List(t.Context(), "")
+	require.NoError(t, err)
+	require.Equal(t, "127.0.9.4", remote)
+}
--- a/toucanstair/toucancommand/command_test.go
+++ b/toucanstair/toucancommand/command_test.go
@@ -31,6 +31,7 @@
 		{"--peers", "0.0.0.0:0", "advertise", "needed when --peers listens on all addresses"},
 		{"--ops", "127.0.0.1:70000", "ops", "an IP address and port"},
 		{"--advertise", "0.0.0.0:1", "advertise", "not 0.0.0.0"},
+		{"--source", "lo", "source", "an IP address of this machine"},
 		{"--store", "127.0.0.1:0", "store", "an IP address and port"},
 		{"--seeds", "127.0.0.1:1,b", "seeds", "separated by commas"},
 		{"--beat", "2s", "beat", "10ms to 1s"},
--- a/toucanstair/toucancommand/node.go
+++ b/toucanstair/toucancommand/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"slices"
 	"time"
 
@@ -59,8 +60,8 @@
 // newNode connects the parts; start makes them work.
 func newNode(s *Settings, drainer *toucandrain.Drainer, log *zap.Logger) *node {
 	n := &node{zone: toucanzone.Name(s.Zone), beat: s.Beat, log: log, drainer: drainer}
-	n.store = toucanstorage.New(addressList(s.Store), log)
-	n.link = &toucanpeerlink.Link{Log: log}
+	n.store = toucanstorage.NewFrom(sourceAddress(s.Source), addressList(s.Store), log)
+	n.link = &toucanpeerlink.Link{Source: sourceAddress(s.Source), Log: log}
 	n.keeper = &toucanconfig.Keeper{Store: n.store, Watching: n.isWatcher, Pull: n.pull, Peers: n.knownHosts(s.Seeds), Log: log}
 	n.judge = &toucanmove.Judge{Catalog: n.keeper.Catalog, Store: n.store, Leading: n.isMoveLeader, Log: log}
 	n.announcer = newAnnouncer(n.dial)
@@ -110,6 +111,14 @@
 	return []string{address}
 }
 
+// sourceAddress returns nil when the system chooses the source address.
+func sourceAddress(source string) *net.TCPAddr {
+	if source == "" {
+		return nil
+	}
+	return &net.TCPAddr{IP: net.ParseIP(source)}
+}
+
 func (n *node) dial(address string) (toucanpb.PeerClient, error) {
 	c, err := n.link.Conn(address)
 	if err != nil {
--- a/toucanstair/toucancommand/settings.go
+++ b/toucanstair/toucancommand/settings.go
@@ -37,6 +37,7 @@
 	Peers     string        // listen address for other hosts
 	Ops       string        // listen address for operators
 	Advertise string        // peer address that other hosts connect to; "" means the one listened on
+	Source    string        // source address of connections to peers and the store; "" leaves it to the system
 	Store     string        // address of the platform's store; "" means none
 	Seeds     []string      // peer addresses asked first
 	Beat      time.Duration // between heartbeats
@@ -66,6 +67,7 @@
 	f.StringVar(&s.Peers, "peers", "127.0.0.1:0", "listen address for other hosts")
 	f.StringVar(&s.Ops, "ops", "127.0.0.1:0", "listen address for operators")
 	f.StringVar(&s.Advertise, "advertise", "", "peer address that other hosts connect to (default: the one listened on)")
+	f.StringVar(&s.Source, "source", "", "source address of outgoing connections to peers and the store (default: the system's choice)")
 	f.StringVar(&s.Store, "store", "", "address of the platform's store (default: run without the store)")
 	f.StringSliceVar(&s.Seeds, "seeds", nil, "peer addresses of hosts asked first, separated by commas")
 	f.DurationVar(&s.Beat, "beat", 500*time.Millisecond, "time between heartbeats")
@@ -125,6 +127,7 @@
 		{"peers", s.Peers, "an IP address and port such as 127.0.0.1:0", isAddress(s.Peers)},
 		{"ops", s.Ops, "an IP address and port such as 127.0.0.1:0", isAddress(s.Ops)},
 		{"advertise", s.Advertise, "an IP address and port that other hosts can reach, not 0.0.0.0 and not port 0; needed when --peers listens on all addresses", s.advertisable()},
+		{"source", s.Source, "an IP address of this machine, or nothing", s.Source == "" || isSource(s.Source)},
 		{"store", s.Store, "an IP address and port, or nothing", s.Store == "" || isReachable(s.Store)},
 		{"beat", s.Beat.String(), within(minBeat, maxBeat), s.Beat >= minBeat && s.Beat <= maxBeat},
 		{"inflight", fmt.Sprint(s.Inflight), fmt.Sprint("1 to ", maxInflight), s.Inflight >= 1 && s.Inflight <= maxInflight},
@@ -182,6 +185,11 @@
 	return err == nil && a.Port() != 0 && !a.Addr().IsUnspecified()
 }
 
+func isSource(s string) bool {
+	a, err := netip.ParseAddr(s)
+	return err == nil && !a.IsUnspecified()
+}
+
 func within(low, high time.Duration) string { return fmt.Sprintf("%s to %s", low, high) }
 
 func wrong(flag, value, allowed string) *toucanfault.Error {
--- a/toucanstair/toucanpeerlink/link.go
+++ b/toucanstair/toucanpeerlink/link.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 
@@ -38,7 +39,8 @@
 // Link holds the connections to other hosts. The zero value works. Fields
 // must not change after first use.
 type Link struct {
-	InFlight int // most legs in flight to one peer, default 4096
+	InFlight int          // most legs in flight to one peer, default 4096
+	Source   *net.TCPAddr // source address of connections; nil leaves it to the system
 	Log      *zap.Logger
 	Options  []grpc.DialOption // added to the defaults
 
@@ -114,6 +116,12 @@
 		}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(resultLimit)),
 	}, l.Options...)
+	if l.Source != nil {
+		dialer := &net.Dialer{LocalAddr: l.Source}
+		options = append(options, grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		}))
+	}
 	conn, err := grpc.NewClient("passthrough:///"+address, options...)
 	if err != nil {
 		return nil, toucanfault.NotRun(toucanpb.Code_CODE_DOWN, "peer "+address).Because(err)
--- a/toucanstair/toucanpeerlink/link_test.go
+++ b/toucanstair/toucanpeerlink/link_test.go
@@ -166,3 +166,21 @@
 	all.Wait()
 	require.EqualValues(t, 3, refused.Load())
 }
+
+// Guards against peer connections of a multi-homed host that leave from an
+// address other than the one it is given.
+func TestSourceAddress(t *testing.T) {
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	link := toucanpeerlink.Link{Source: &net.TCPAddr{IP: net.IPv4(127, 0, 9, 4)}}
+	defer link.Close()
+	_, err = link.Conn(l.Addr().String())
+	require.NoError(t, err)
+	c, err := l.Accept()
+	require.NoError(t, err)
+	defer c.Close()
+	host, _, err := net.SplitHostPort(c.RemoteAddr().String())
+	require.NoError(t, err)
+	require.Equal(t, "127.0.9.4", host)
+}
