Add the bed of the tests with real processes

Every host has a source address of its own, so that a zone or a host can be cut off from the others in both directions.

--- /dev/null
+++ b/integration/bed_test.go
@@ -0,0 +1,331 @@
+package integration
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"toucanstair.example/core/toucandeploy"
+	"toucanstair.example/core/toucanfault"
+	"toucanstair.example/core/toucanlaunch"
+	"toucanstair.example/core/toucanpb"
+	"toucanstair.example/core/toucanspec"
+	"toucanstair.example/core/toucanzone"
+)
+
+const (
+	defaultSeed = 7
+	bedLimit    = 2 * time.Minute // of one test
+	pollPause   = 25 * time.Millisecond
+	// Generous bound of a condition, so that a slow machine does not fail a test.
+	patience = 30 * time.Second
+)
+
+// bed is a deployment with fault-injecting proxies between its processes. Each
+// host has its own source address, and a proxy for each other host's address.
+type bed struct {
+	*toucandeploy.Deployment
+	t       *testing.T
+	ctx     context.Context
+	seed    uint64
+	random  *rand.Rand // of the test's own goroutine
+	network *network
+
+	sources map[string]string           // source IP by host name
+	links   map[string]map[string]*pipe // peer proxies by source and destination host name
+	stores  map[toucanzone.Name]*pipe   // store proxy of each zone
+	targets map[string]*pipe            // target proxies by replica; empty unless asked for
+	proxied func(replica string) bool   // nil proxies no target
+	splits  map[string]*splitter        // by destination host name
+}
+
+// newBed returns a bed that is not started, so that a test can adjust its plan.
+// It prints the seed, and on failure the command that repeats the test.
+func newBed(t *testing.T) *bed {
+	t.Helper()
+	bin := os.Getenv("TOUCAN_BIN")
+	if bin == "" {
+		t.Skip("TOUCAN_BIN is not set; make process sets it")
+	}
+	seed := uint64(defaultSeed)
+	if text := os.Getenv("TOUCAN_SEED"); text != "" {
+		var err error
+		seed, err = strconv.ParseUint(text, 10, 64)
+		require.NoError(t, err, "TOUCAN_SEED")
+	}
+	t.Logf("seed %d", seed)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("repeat: make build && TOUCAN_SEED=%d TOUCAN_BIN=$PWD/bin go test -count=1 -run '^%s$' ./integration/...", seed, t.Name())
+		}
+	})
+	plan, err := toucandeploy.Size("demo")
+	require.NoError(t, err)
+	plan.Bin, plan.Dir, plan.Seed = bin, t.TempDir(), seed
+	// Two zones hold each shard; a target process for each zone can be killed.
+	plan.Processes = 1
+	plan.Args = []string{"--linger", "100ms"}
+	launcher := &toucanlaunch.Launcher{}
+	ctx, cancel := context.WithTimeout(context.Background(), bedLimit)
+	b := &bed{
+		Deployment: toucandeploy.New(plan, launcher, nil),
+		t:          t, ctx: ctx, seed: seed, random: rand.New(rand.NewPCG(seed, 0)),
+		network: newNetwork(t),
+		sources: map[string]string{}, links: map[string]map[string]*pipe{},
+		stores: map[toucanzone.Name]*pipe{}, targets: map[string]*pipe{}, splits: map[string]*splitter{},
+	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			for _, h := range b.Hosts {
+				t.Logf("last output of %s:\n%s", h.Name, tail(h.Process.Stderr(), 3000))
+			}
+		}
+		cancel()
+		launcher.Close()
+	})
+	return b
+}
+
+func tail(s string, n int) string { return s[max(0, len(s)-n):] }
+
+// start starts all processes and waits until every host is ready.
+func (b *bed) start() {
+	b.t.Helper()
+	require.NoError(b.t, b.StartPlatform(b.ctx))
+	for _, z := range b.Plan.Zones {
+		b.stores[z.Name] = b.network.pipe("store-"+string(z.Name), b.Store.Address)
+	}
+	if b.proxied != nil {
+		for _, t := range b.Targets {
+			for id, address := range t.Replicas {
+				if b.proxied(id) {
+					b.targets[id] = b.network.pipe("target-"+id, address)
+					t.Replicas[id] = b.targets[id].address()
+				}
+			}
+		}
+	}
+	b.Plan.HostArgs = func(h *toucandeploy.Host) []string {
+		if b.splits[h.Name] == nil {
+			b.splits[h.Name] = newSplitter(b.t)
+		}
+		h.Advertise = b.splits[h.Name].listener.Addr().String()
+		return []string{"--source", b.sources[h.Name], "--store", b.stores[h.Zone].address()}
+	}
+	var hosts []*toucandeploy.Host
+	for zi, z := range b.Plan.Zones {
+		for i := range b.Plan.Hosts {
+			h := &toucandeploy.Host{Name: fmt.Sprintf("%s-%d", z.Name, i+1), Zone: z.Name}
+			b.sources[h.Name] = fmt.Sprintf("127.0.%d.%d", zi+1, i+1)
+			hosts = append(hosts, h)
+		}
+	}
+	for _, h := range hosts {
+		require.NoError(b.t, b.Restart(b.ctx, h))
+		for _, from := range hosts {
+			if from == h {
+				continue
+			}
+			p := b.network.pipe(from.Name+" to "+h.Name, h.Peers)
+			if b.links[from.Name] == nil {
+				b.links[from.Name] = map[string]*pipe{}
+			}
+			b.links[from.Name][h.Name] = p
+			b.splits[h.Name].set(b.sources[from.Name], p)
+		}
+		b.Hosts = append(b.Hosts, h)
+	}
+	require.NoError(b.t, b.ListHosts(b.ctx))
+	require.NoError(b.t, b.Apply(b.ctx))
+	require.NoError(b.t, b.WaitReady(b.ctx))
+}
+
+// startCovered starts the bed and waits until every host answers each service
+// in full.
+func (b *bed) startCovered() {
+	b.t.Helper()
+	b.start()
+	for _, h := range b.Hosts {
+		b.untilFull(h)
+	}
+}
+
+// untilFull waits until a host answers every service in full.
+func (b *bed) untilFull(h *toucandeploy.Host) {
+	b.t.Helper()
+	for _, s := range b.Plan.Services {
+		q := &toucanpb.Query{Service: string(s.Name), Route: s.Routes[0].Name, Query: words, Limit: 1000, Timeout: "1s"}
+		b.eventually("full answer of "+h.Name+" for "+string(s.Name), func() bool {
+			a, err := b.Search(b.ctx, h.Callers, q)
+			return err == nil && a.GetCoverage().GetAnswered() == s.Shards
+		})
+	}
+}
+
+// eventually polls a condition under a generous bound.
+func (b *bed) eventually(what string, holds func() bool) {
+	b.t.Helper()
+	limit := time.Now().Add(patience)
+	for !holds() {
+		require.True(b.t, time.Now().Before(limit) && b.pause(pollPause), "not reached in %v: %s", patience, what)
+	}
+}
+
+// pause waits and reports whether the test may go on.
+func (b *bed) pause(d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-b.ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// host returns a host by its name, such as sierra-1.
+func (b *bed) host(name string) *toucandeploy.Host {
+	b.t.Helper()
+	for _, h := range b.Hosts {
+		if h.Name == name {
+			return h
+		}
+	}
+	require.FailNow(b.t, "no host "+name)
+	return nil
+}
+
+// hostsOf returns the hosts of a zone.
+func (b *bed) hostsOf(zone toucanzone.Name) []*toucandeploy.Host {
+	var out []*toucandeploy.Host
+	for _, h := range b.Hosts {
+		if h.Zone == zone {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// crossing calls do for each peer proxy between a zone and the other zones, in
+// both directions.
+func (b *bed) crossing(zone toucanzone.Name, do func(*pipe)) {
+	for _, from := range b.Hosts {
+		for _, to := range b.Hosts {
+			if (from.Zone == zone) != (to.Zone == zone) {
+				do(b.links[from.Name][to.Name])
+			}
+		}
+	}
+}
+
+// cutZone drops all data between a zone and the other zones.
+func (b *bed) cutZone(zone toucanzone.Name) { b.crossing(zone, (*pipe).cut) }
+
+// healZone ends cutZone.
+func (b *bed) healZone(zone toucanzone.Name) { b.crossing(zone, (*pipe).heal) }
+
+// cutStore drops all data between the hosts of a zone and the store.
+func (b *bed) cutStore(zone toucanzone.Name) { b.stores[zone].cut() }
+
+// healStore ends cutStore.
+func (b *bed) healStore(zone toucanzone.Name) { b.stores[zone].heal() }
+
+// cutHost drops all data between a host and its peers.
+func (b *bed) cutHost(h *toucandeploy.Host) { b.around(h, (*pipe).cut) }
+
+// healHost ends cutHost.
+func (b *bed) healHost(h *toucandeploy.Host) { b.around(h, (*pipe).heal) }
+
+func (b *bed) around(h *toucandeploy.Host, do func(*pipe)) {
+	for _, o := range b.Hosts {
+		if o != h {
+			do(b.links[h.Name][o.Name])
+			do(b.links[o.Name][h.Name])
+		}
+	}
+}
+
+// signal sends a signal to a host.
+func (b *bed) signal(h *toucandeploy.Host, s syscall.Signal) {
+	b.t.Helper()
+	require.NoError(b.t, h.Process.Signal(s))
+}
+
+// freeze stops the process of a host without ending it.
+func (b *bed) freeze(h *toucandeploy.Host) { b.signal(h, syscall.SIGSTOP) }
+
+// thaw ends freeze.
+func (b *bed) thaw(h *toucandeploy.Host) { b.signal(h, syscall.SIGCONT) }
+
+// kill ends a host with SIGKILL.
+func (b *bed) kill(h *toucandeploy.Host) { h.Process.Kill() }
+
+// restart starts a host that was killed or has ended.
+func (b *bed) restart(h *toucandeploy.Host) {
+	b.t.Helper()
+	<-h.Process.Exited()
+	require.NoError(b.t, b.Restart(b.ctx, h))
+}
+
+// targetsOf returns the process of a zone's targets.
+func (b *bed) targetsOf(zone toucanzone.Name) *toucandeploy.Targets {
+	b.t.Helper()
+	for _, t := range b.Targets {
+		if t.Zone == zone {
+			return t
+		}
+	}
+	require.FailNow(b.t, "no targets in "+string(zone))
+	return nil
+}
+
+// behave changes the behaviour of a replica, or of all replicas for "*".
+func (b *bed) behave(replica string, change any) {
+	b.t.Helper()
+	if replica != "*" {
+		require.NoError(b.t, b.Behave(b.ctx, replica, change))
+		return
+	}
+	for _, t := range b.Targets {
+		select {
+		case <-t.Process.Exited():
+		default:
+			require.NoError(b.t, b.Put(b.ctx, t.Admin, "/admin/replica/*", change))
+		}
+	}
+}
+
+// storeFault sets the fault switches of the store, such as {"down": "hang"},
+// {"delay": "300ms"}, {"lose": 3} or {"drop": 1}; {} ends all faults.
+func (b *bed) storeFault(fault map[string]any) {
+	b.t.Helper()
+	require.NoError(b.t, b.Put(b.ctx, b.Store.Admin, "/admin/fault", fault))
+}
+
+// ledger returns the records of the replicas of all running targets.
+func (b *bed) ledger() map[string]toucanspec.Record {
+	b.t.Helper()
+	l, err := b.Ledger(b.ctx)
+	require.NoError(b.t, err)
+	return l
+}
+
+// state reads the operators' state page of a host into v.
+func (b *bed) state(h *toucandeploy.Host, v any) error {
+	body, err := b.Get(b.ctx, h.Ops, "/state")
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(body, v); err != nil {
+		return toucanfault.Unknown(toucanpb.Code_CODE_INVALID, "state of "+h.Name).Because(err)
+	}
+	return nil
+}
--- /dev/null
+++ b/integration/load_test.go
@@ -0,0 +1,101 @@
+package integration
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"toucanstair.example/core/toucandeploy"
+	"toucanstair.example/core/toucanpb"
+)
+
+// words matches texts of every shard of the sample data.
+const words = "football letters animals music pen pal drawing school"
+
+// request is one request of a caller with its end.
+type request struct {
+	Host   *toucandeploy.Host
+	Query  *toucanpb.Query
+	Began  time.Time
+	Ended  time.Time
+	Answer *toucanpb.Answer // nil when Err is set
+	Err    error            // *toucanfault.Error
+}
+
+// load sends requests in an open loop from a background goroutine.
+type load struct {
+	stop   context.CancelFunc
+	ended  chan struct{}
+	client *http.Client
+
+	mu   sync.Mutex
+	done []request
+}
+
+// drive sends requests with Poisson arrivals at a rate in requests a second
+// until stopped; next is called by one goroutine with a generator of its own.
+func (b *bed) drive(rate float64, next func(*rand.Rand) (*toucandeploy.Host, *toucanpb.Query)) *load {
+	ctx, stop := context.WithCancel(b.ctx)
+	l := &load{
+		stop: stop, ended: make(chan struct{}),
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+	}
+	random := rand.New(rand.NewPCG(b.seed, 1))
+	go func() {
+		defer close(l.ended)
+		var calls sync.WaitGroup
+		defer calls.Wait()
+		at := time.Now()
+		for {
+			at = at.Add(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
+			timer := time.NewTimer(time.Until(at))
+			select {
+			case <-ctx.Done():
+				timer.Stop()
+				return
+			case <-timer.C:
+			}
+			h, q := next(random)
+			// Requests in progress end by themselves after the load is stopped.
+			calls.Go(func() { l.add(ask(b.ctx, l.client, h, q)) })
+		}
+	}()
+	b.t.Cleanup(func() { l.finish() })
+	return l
+}
+
+// ask sends one request and waits for its end.
+func ask(ctx context.Context, client *http.Client, h *toucandeploy.Host, q *toucanpb.Query) request {
+	// A host answers at the query's deadline; a frozen one does not.
+	ctx, cancel := context.WithTimeout(ctx, callerLimit)
+	defer cancel()
+	r := request{Host: h, Query: q, Began: time.Now()}
+	r.Answer, r.Err = toucandeploy.Search(ctx, client, h.Callers, q)
+	r.Ended = time.Now()
+	return r
+}
+
+const callerLimit = 6 * time.Second
+
+func (l *load) add(r request) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.done = append(l.done, r)
+}
+
+// soFar returns the requests that have ended.
+func (l *load) soFar() []request {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]request(nil), l.done...)
+}
+
+// finish stops the load, waits for the end of every request and returns all.
+func (l *load) finish() []request {
+	l.stop()
+	<-l.ended
+	l.client.CloseIdleConnections()
+	return l.soFar()
+}
