Hedge a slow leg in the next zone when its own has one replica

Ruled out: the budget, which was full. Change: the coordinator hedges such legs in the next zone that holds the shard, from a budget of its own; cells count only the legs that they can hedge, so both together stay within 5%. A repeat of a leg that may have run takes a token, too.

--- a/toucanstair/toucancell/cell.go
+++ b/toucanstair/toucancell/cell.go
@@ -141,10 +141,13 @@
 	ctx, cancel := within(ctx, leg)
 	defer cancel() // also cancels the attempts that lost
 	legs.Inc()
-	if !r.launch(ctx, false) {
+	if !r.launch(ctx, leg.GetExtra()) {
 		return refusal(leg, r.none())
 	}
-	c.Budget.Sent()
+	if !leg.GetExtra() && len(r.candidates) > 1 {
+		// Legs that this cell cannot hedge are in the coordinator's budget.
+		c.Budget.Sent()
+	}
 	return r.wait(ctx)
 }
 
--- a/toucanstair/toucancommand/node.go
+++ b/toucanstair/toucancommand/node.go
@@ -90,6 +90,9 @@
 		Zone: n.zone, Keeper: n.keeper, Inventory: n.inventory, Cell: n.cell, Link: n.link, Contacts: n.members,
 		Judge: n.judge, Claims: n.claims, Drainer: drainer, Log: log,
 	}
+	if s.Hedge {
+		n.coordinator.Budget = &toucanhedge.Budget{}
+	}
 	return n
 }
 
--- a/toucanstair/toucanquery/gather.go
+++ b/toucanstair/toucanquery/gather.go
@@ -15,7 +15,10 @@
 
 // needed counts the shards asked for; with toucan_legs_sent_total it gives the
 // extra load of hedges and retries.
-var needed = metrics.NewCounter("toucan_legs_needed_total")
+var (
+	needed = metrics.NewCounter("toucan_legs_needed_total")
+	hedges = metrics.NewCounter("toucan_query_hedges_total") // in another zone
+)
 
 // ending is what became of one shard.
 type ending struct {
--- a/toucanstair/toucanquery/leg.go
+++ b/toucanstair/toucanquery/leg.go
@@ -11,6 +11,7 @@
 
 	"toucanstair.example/core/toucanfault"
 	"toucanstair.example/core/toucanpb"
+	"toucanstair.example/core/toucanservice"
 	"toucanstair.example/core/toucanshard"
 	"toucanstair.example/core/toucanzone"
 )
@@ -48,22 +49,82 @@
 	return int(s/8) < len(bitmap) && bitmap[s/8]&(1<<(s%8)) != 0
 }
 
-// runShard runs the leg of a shard in the first zone and, when that zone could
-// not be reached or had nowhere to run it, once in the next one.
+// runShard runs the leg of a shard in the first zone. When that zone could not
+// be reached or had nowhere to run it, the leg moves to the next one. When the
+// zone has one replica only, so that its cell has nothing to hedge with, a slow
+// leg is hedged in the next zone.
 func (c *Coordinator) runShard(ctx context.Context, t *task, shard toucanshard.ID, index uint64, zones []toucanzone.Name) ending {
-	var e ending
-	for n, z := range zones[:min(len(zones), 2)] {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // also ends the run that lost
+	const most = 2
+	zones = zones[:min(len(zones), most)]
+	ends := make(chan ending, most)
+	pending := 0
+	launch := func(extra bool) {
+		z := zones[0]
+		zones = zones[1:]
+		pending++
 		leg := t.leg(shard, index)
-		leg.Extra = n > 0
-		result := c.runZone(ctx, z, leg)
-		e = ending{shard: shard, code: verify(leg, result), result: result}
-		if !moves(e.code, result) || ctx.Err() != nil {
-			break
+		leg.Extra = extra
+		go func() {
+			result := c.runZone(ctx, z, leg)
+			ends <- ending{shard: shard, code: verify(leg, result), result: result}
+		}()
+	}
+	begin := time.Now()
+	slow, stop := c.hedgeAfter(t, shard, zones)
+	defer stop()
+	launch(false)
+	var first ending
+	for {
+		select {
+		case e := <-ends:
+			pending--
+			if e.code == toucanpb.Code_CODE_UNSPECIFIED {
+				c.learn(t.service, time.Since(begin))
+				return e
+			}
+			if first.result == nil {
+				first = e
+			}
+			ran := e.result.GetOutcome() != toucanpb.Outcome_OUTCOME_NOTRUN
+			if len(zones) > 0 && moves(e.code, e.result) && ctx.Err() == nil && (!ran || c.mayRepeat()) {
+				launch(ran)
+			}
+			if pending == 0 {
+				return first
+			}
+		case <-slow:
+			if len(zones) > 0 && c.Budget.Take() {
+				hedges.Inc()
+				launch(true)
+			}
 		}
 	}
-	return e
 }
 
+// hedgeAfter returns a channel that tells when a leg is slow enough to be
+// hedged in the next zone; it is nil when the first zone's cell can hedge, when
+// there is no next zone, and without a budget.
+func (c *Coordinator) hedgeAfter(t *task, shard toucanshard.ID, zones []toucanzone.Name) (<-chan time.Time, func() bool) {
+	if c.Budget == nil || len(zones) < 2 || len(t.catalog.Replicas(t.service, shard, zones[0])) > 1 {
+		return nil, func() bool { return true }
+	}
+	c.Budget.Sent()
+	timer := time.NewTimer(c.Budget.Delay(t.service))
+	return timer.C, timer.Stop
+}
+
+func (c *Coordinator) learn(s toucanservice.Name, took time.Duration) {
+	if c.Budget != nil {
+		c.Budget.Observe(s, took)
+	}
+}
+
+// mayRepeat takes a token for a leg that may have run before; without a budget
+// each leg is repeated once.
+func (c *Coordinator) mayRepeat() bool { return c.Budget == nil || c.Budget.Take() }
+
 // moves reports whether a leg may be tried in another zone. Overload and
 // refusals by targets are not: they would move the load of one zone to the next.
 func moves(code toucanpb.Code, r *toucanpb.LegResult) bool {
@@ -125,8 +186,8 @@
 
 // runRemote asks the zone's contacts in turn. The next one is asked only if the
 // leg did not run at the one before, or if that one was lost and the leg is
-// idempotent; the repeat is then marked extra, so that the zone's budget for
-// hedges and retries bounds it. A non-idempotent leg is tried at one only.
+// idempotent; the repeat takes a token of the budget and is marked extra. A
+// non-idempotent leg is tried at one only.
 func (c *Coordinator) runRemote(ctx context.Context, z toucanzone.Name, leg *toucanpb.Leg) *toucanpb.LegResult {
 	hosts := c.Contacts.Contacts(z)
 	last := toucanfault.NotRun(toucanpb.Code_CODE_CUT, "no host of zone "+string(z)+" is known")
@@ -150,7 +211,7 @@
 		switch {
 		case cannotServe(last.Outcome, last.Code):
 		case down && last.Outcome == toucanpb.Outcome_OUTCOME_NOTRUN:
-		case down && !lost:
+		case down && !lost && c.mayRepeat():
 			lost = true
 			leg = proto.CloneOf(leg)
 			leg.Extra = true
--- a/toucanstair/toucanquery/query.go
+++ b/toucanstair/toucanquery/query.go
@@ -54,6 +54,14 @@
 	Version(s toucanservice.Name, request string) string
 }
 
+// budget bounds the legs that are sent beside or after another one.
+type budget interface {
+	Sent()
+	Take() bool
+	Delay(toucanservice.Name) time.Duration
+	Observe(toucanservice.Name, time.Duration)
+}
+
 type claims interface {
 	Void(ctx context.Context, s toucanservice.Name, key, attempt string) (bool, error)
 }
@@ -74,6 +82,7 @@
 	Contacts  contacts
 	Judge     judge
 	Claims    claims
+	Budget    budget // without one, no leg is hedged in another zone
 	Drainer   drainer
 	Margin    time.Duration // time kept before the deadline; 0 means 2 ms
 	Log       *zap.Logger
