Fix a data race of the fake network and the lost figures of a benchmark

The race detector reported TestLateAcknowledgements reading the pauses without the lock; b.Loop resets metrics reported before it.

--- a/toucanstair/toucanmember/bench_test.go
+++ b/toucanstair/toucanmember/bench_test.go
@@ -76,6 +76,8 @@
 			cpu := used()
 			<-time.After(span)
 			cpu = used() - cpu
+			for b.Loop() { //nolint:revive // the measure is over a span of time
+			}
 			members := float64(len(ps))
 			per := members * span.Seconds()
 			w.set(func() {
@@ -87,8 +89,6 @@
 			b.ReportMetric(float64(full-empty)/members/1024, "KiB/member")
 			view, _ := proto.Marshal(ps[0].View().Message())
 			b.ReportMetric(float64(len(view)), "B/view")
-			for b.Loop() { //nolint:revive // the measure is over a span of time
-			}
 		})
 	}
 }
--- a/toucanstair/toucanmember/manager_test.go
+++ b/toucanstair/toucanmember/manager_test.go
@@ -96,7 +96,11 @@
 	return false
 }
 
-func (r *trial) isPaused(p *proc) bool { return r.paused[p.set.Name].over != nil }
+func (r *trial) isPaused(p *proc) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.paused[p.set.Name].over != nil
+}
 
 func (r *trial) allOwned() bool {
 	for _, s := range slots() {
