--- /dev/null
+++ b/integration/check_test.go
@@ -0,0 +1,337 @@
+package integration
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"sort"
+	"syscall"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"toucanstair.example/core/toucandeploy"
+	"toucanstair.example/core/toucanfault"
+	"toucanstair.example/core/toucanlaunch"
+	"toucanstair.example/core/toucanpb"
+	"toucanstair.example/core/toucanspec"
+)
+
+const (
+	// targetLimit is enough for a target without faults on a busy machine.
+	targetLimit = 10 * time.Second
+	// allItems is the highest limit of a query; no query of the tests has
+	// as many hits.
+	allItems = 1000
+)
+
+// reasons are the words that a missing shard may have.
+var reasons = []string{"timeout", "refused", "down", "cut", "out", "version", "invalid", "overload"}
+
+// truth holds the items of each shard by service and query, without the mark
+// of the index version.
+type truth map[string]map[uint32][]*toucanpb.Item
+
+// learn reads the items that each shard holds for the queries from stand-ins
+// of its own, so that neither the ledgers nor the state of the deployment's
+// targets change.
+func (b *bed) learn(queries ...string) truth {
+	b.t.Helper()
+	var specs []toucanspec.Replica
+	for _, s := range b.Plan.Services {
+		for shard := range s.Shards {
+			specs = append(specs, toucanspec.Replica{
+				ID: fmt.Sprintf("%s-%d", s.Name, shard), Service: string(s.Name), Shard: shard, Slots: 1,
+			})
+		}
+	}
+	stdin, err := json.Marshal(specs)
+	require.NoError(b.t, err)
+	reference := &toucandeploy.Targets{}
+	p, err := b.Launcher.Launch(b.ctx, toucanlaunch.Program{
+		Name: "reference targets", Path: b.Plan.Bin + "/toucantarget", Stdin: stdin,
+	}, reference)
+	require.NoError(b.t, err)
+	defer p.Kill()
+	out := truth{}
+	for _, s := range specs {
+		for _, text := range queries {
+			name := s.Service + "/" + text
+			if out[name] == nil {
+				out[name] = map[uint32][]*toucanpb.Item{}
+			}
+			out[name][s.Shard] = b.askTarget(reference.Replicas[s.ID], s, text)
+		}
+	}
+	return out
+}
+
+func (b *bed) askTarget(address string, s toucanspec.Replica, text string) []*toucanpb.Item {
+	b.t.Helper()
+	q := &toucanpb.TargetQuery{Leg: "truth", Service: s.Service, Shard: s.Shard, Query: text, Limit: allItems, Index: 1}
+	body, err := protojson.Marshal(q)
+	require.NoError(b.t, err)
+	client := &http.Client{Timeout: targetLimit}
+	defer client.CloseIdleConnections()
+	reply, err := client.Post("http://"+address+"/search", "application/json", bytes.NewReader(body))
+	require.NoError(b.t, err)
+	defer reply.Body.Close()
+	require.Equal(b.t, http.StatusOK, reply.StatusCode)
+	var raw bytes.Buffer
+	_, err = raw.ReadFrom(reply.Body)
+	require.NoError(b.t, err)
+	a := &toucanpb.TargetAnswer{}
+	require.NoError(b.t, protojson.Unmarshal(raw.Bytes(), a))
+	require.NotEmpty(b.t, a.GetItems(), "shard %s/%d must hold items, so that a false coverage shows", s.Service, s.Shard)
+	mark := toucanspec.Mark(s.Service, s.Shard, 1)
+	for _, i := range a.GetItems() {
+		i.Text = i.GetText()[:len(i.GetText())-len(mark)]
+	}
+	return a.GetItems()
+}
+
+// checkAnswer returns what is wrong with the answer to an idempotent request:
+// the coverage must add up, and the items must be exactly those that the
+// answered shards hold at the stated index version.
+func (t truth) checkAnswer(r request, shards uint32) string {
+	c := r.Answer.GetCoverage()
+	if c.GetAsked() != shards || int(c.GetAnswered())+len(c.GetMissing()) != int(shards) {
+		return fmt.Sprintf("coverage does not add up: %v", c)
+	}
+	missing := map[uint32]bool{}
+	for _, m := range c.GetMissing() {
+		if m.GetShard() >= shards || missing[m.GetShard()] || !slices.Contains(reasons, m.GetReason()) {
+			return fmt.Sprintf("missing shard %v is not valid", m)
+		}
+		missing[m.GetShard()] = true
+	}
+	var want []*toucanpb.Item
+	held := t[r.Query.GetService()+"/"+r.Query.GetQuery()]
+	for shard := range shards {
+		if missing[shard] {
+			continue
+		}
+		mark := toucanspec.Mark(r.Query.GetService(), shard, r.Answer.GetSnapshot().GetIndex())
+		for _, i := range held[shard] {
+			want = append(want, &toucanpb.Item{Id: i.GetId(), Score: i.GetScore(), Text: i.GetText() + mark})
+		}
+	}
+	slices.SortFunc(want, func(a, b *toucanpb.Item) int {
+		return cmp.Or(cmp.Compare(b.GetScore(), a.GetScore()), cmp.Compare(a.GetId(), b.GetId()))
+	})
+	want = want[:min(len(want), int(r.Query.GetLimit()))]
+	got := r.Answer.GetItems()
+	for n := range min(len(want), len(got)) {
+		w, g := want[n], got[n]
+		if g.GetId() != w.GetId() || g.GetText() != w.GetText() || g.GetScore() != w.GetScore() {
+			return fmt.Sprintf("item %d is %q %q, not %q %q; coverage %v", n, g.GetId(), g.GetText(), w.GetId(), w.GetText(), c)
+		}
+	}
+	if len(got) != len(want) {
+		return fmt.Sprintf("%d items instead of %d; coverage %v", len(got), len(want), c)
+	}
+	return ""
+}
+
+// checkAnswers checks all idempotent requests that were answered and returns
+// their number.
+func (b *bed) checkAnswers(t truth, requests []request) int {
+	b.t.Helper()
+	n, bad := 0, 0
+	for _, r := range requests {
+		if r.Answer == nil || b.isOnce(r.Query) {
+			continue
+		}
+		n++
+		if wrong := t.checkAnswer(r, b.shards(r.Query.GetService())); wrong != "" {
+			if bad++; bad <= 5 {
+				b.t.Errorf("answer %s of %s to %s %q: snapshot %d: %s", r.Answer.GetRequest(), r.Host.Name,
+					r.Query.GetService(), r.Query.GetQuery(), r.Answer.GetSnapshot().GetIndex(), wrong)
+			}
+		}
+	}
+	require.Zero(b.t, bad, "wrong answers among %d", n)
+	return n
+}
+
+func (b *bed) shards(service string) uint32 {
+	for _, s := range b.Plan.Services {
+		if string(s.Name) == service {
+			return s.Shards
+		}
+	}
+	return 0
+}
+
+func (b *bed) isOnce(q *toucanpb.Query) bool {
+	for _, s := range b.Plan.Services {
+		for _, r := range s.Routes {
+			if string(s.Name) == q.GetService() && r.Name == q.GetRoute() {
+				return r.Once
+			}
+		}
+	}
+	return false
+}
+
+// outcome is that of the request as its caller knows it.
+func (r request) outcome() toucanpb.Outcome {
+	if r.Err == nil {
+		return toucanpb.Outcome_OUTCOME_DONE
+	}
+	if f := toucanfault.As(r.Err); f != nil && f.Outcome == toucanpb.Outcome_OUTCOME_NOTRUN {
+		return toucanpb.Outcome_OUTCOME_NOTRUN
+	}
+	return toucanpb.Outcome_OUTCOME_UNKNOWN
+}
+
+// runs sums the started runs of each key; "" counts the requests without one.
+func runs(ledger map[string]toucanspec.Record) map[string]uint64 {
+	out := map[string]uint64{}
+	for _, r := range ledger {
+		for key, n := range r.Runs {
+			out[key] += n
+		}
+	}
+	return out
+}
+
+// checkOnce compares the callers' non-idempotent requests with the ledger,
+// which must be final: a key runs at most once, a key whose requests all ended
+// as not run is not in the ledger, an answer stands for the key's run, and an
+// answer is that of its own request. Requests without a key are counted.
+func (b *bed) checkOnce(requests []request, ledger map[string]toucanspec.Record) {
+	b.t.Helper()
+	ran := runs(ledger)
+	byKey := map[string][]request{}
+	for _, r := range requests {
+		if b.isOnce(r.Query) {
+			byKey[r.Query.GetKey()] = append(byKey[r.Query.GetKey()], r)
+		}
+	}
+	keyless := byKey[""]
+	delete(byKey, "")
+	for key, all := range byKey {
+		done, unknown := 0, 0
+		for _, r := range all {
+			switch r.outcome() {
+			case toucanpb.Outcome_OUTCOME_DONE:
+				done++
+				b.checkRun(r)
+			case toucanpb.Outcome_OUTCOME_UNKNOWN:
+				unknown++
+			}
+		}
+		n := ran[key]
+		switch {
+		case n > 1:
+			b.t.Errorf("key %s ran %d times: %s", key, n, story(all))
+		case n == 1 && done == 0 && unknown == 0:
+			b.t.Errorf("key %s ran, but every request for it ended as not run: %s", key, story(all))
+		case done > 1 || done == 1 && n == 0:
+			b.t.Errorf("key %s has %d answers and %d runs: %s", key, done, n, story(all))
+		}
+	}
+	for key, n := range ran {
+		if key != "" && byKey[key] == nil {
+			b.t.Errorf("key %s ran %d times and was never asked for", key, n)
+		}
+	}
+	var done, unknown uint64
+	for _, r := range keyless {
+		switch r.outcome() {
+		case toucanpb.Outcome_OUTCOME_DONE:
+			done++
+			b.checkRun(r)
+		case toucanpb.Outcome_OUTCOME_UNKNOWN:
+			unknown++
+		}
+	}
+	if n := ran[""]; n < done || n > done+unknown {
+		b.t.Errorf("%d runs without a key for %d answers and %d unknown outcomes of %d requests", n, done, unknown, len(keyless))
+	}
+	require.False(b.t, b.t.Failed(), "the ledger contradicts the callers' records")
+}
+
+func (b *bed) checkRun(r request) {
+	items := r.Answer.GetItems()
+	want := r.Query.GetQuery() + " [service=" + r.Query.GetService()
+	if len(items) != 1 || items[0].GetId() != "run-"+r.Query.GetKey() ||
+		len(items[0].GetText()) < len(want) || items[0].GetText()[:len(want)] != want {
+		b.t.Errorf("answer to key %q with %q is of another request: %v", r.Query.GetKey(), r.Query.GetQuery(), items)
+	}
+}
+
+// story lists the ends of the requests for one key in the order of their start.
+func story(all []request) string {
+	sort.Slice(all, func(i, j int) bool { return all[i].Began.Before(all[j].Began) })
+	var out bytes.Buffer
+	for _, r := range all {
+		fmt.Fprintf(&out, "\n  %s %s..%s: %s %v", r.Host.Name, r.Began.Format("05.000"), r.Ended.Format("05.000"),
+			toucanfault.OutcomeWord(r.outcome()), r.Err)
+	}
+	return out.String()
+}
+
+// checkTargets checks that no target held more than its slots, or while cold
+// more than one request.
+func (b *bed) checkTargets(ledger map[string]toucanspec.Record) {
+	b.t.Helper()
+	for id, r := range ledger {
+		require.Zero(b.t, r.Overloads, "requests above the %d slots of %s", r.Slots, id)
+		require.LessOrEqual(b.t, r.Peak, r.Slots, id)
+		require.LessOrEqual(b.t, r.PeakCold, 1, "cold %s", id)
+	}
+}
+
+// stopHosts stops all running hosts with SIGTERM, after which the ledger is
+// final.
+func (b *bed) stopHosts() {
+	b.t.Helper()
+	for _, h := range b.Hosts {
+		select {
+		case <-h.Process.Exited():
+		default:
+			b.signal(h, syscall.SIGTERM)
+		}
+	}
+	for _, h := range b.Hosts {
+		// A host that was killed on purpose has the code -1.
+		code, err := h.Process.Wait(b.ctx)
+		require.NoError(b.t, err)
+		if code > 0 {
+			b.t.Errorf("%s exited with code %d", h.Name, code)
+		}
+	}
+	b.eventually("no request held by a target", func() bool {
+		for _, r := range b.ledger() {
+			if r.Held > 0 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// tally counts requests by outcome and code, for the log and for checks that
+// a test met what it is about.
+func tally(requests []request) map[string]int {
+	out := map[string]int{}
+	for _, r := range requests {
+		word := "done"
+		if f := toucanfault.As(r.Err); f != nil {
+			word = toucanfault.OutcomeWord(f.Outcome) + "/" + toucanfault.CodeWord(f.Code)
+		} else if c := r.Answer.GetCoverage(); c.GetAnswered() < c.GetAsked() {
+			word = "partial"
+			for _, m := range c.GetMissing() {
+				out["missing/"+m.GetReason()]++
+			}
+		}
+		out[word]++
+	}
+	return out
+}
--- a/integration/load_test.go
+++ b/integration/load_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -99,3 +100,10 @@
 	l.client.CloseIdleConnections()
 	return l.soFar()
 }
+
+// sortShuffle puts names into an order that depends only on their set and the
+// generator.
+func sortShuffle(names []string, r *rand.Rand) {
+	slices.Sort(names)
+	r.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+}
--- /dev/null
+++ b/integration/snapshot_test.go
@@ -0,0 +1,88 @@
+package integration
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"toucanstair.example/core/toucandeploy"
+	"toucanstair.example/core/toucanpb"
+	"toucanstair.example/core/toucanzone"
+)
+
+// searches returns a generator of idempotent requests to the given hosts.
+func (b *bed) searches(hosts []*toucandeploy.Host, texts ...string) func(*rand.Rand) (*toucandeploy.Host, *toucanpb.Query) {
+	return func(r *rand.Rand) (*toucandeploy.Host, *toucanpb.Query) {
+		s := b.Plan.Services[r.IntN(len(b.Plan.Services))]
+		return hosts[r.IntN(len(hosts))], &toucanpb.Query{
+			Service: string(s.Name), Route: s.Routes[0].Name, Query: texts[r.IntN(len(texts))], Limit: allItems, Timeout: "1s",
+		}
+	}
+}
+
+// publish moves the replicas, one after the other in random order, to a newer
+// index version; a share of them stays behind until the next call. Targets
+// serve the two newest versions that they know.
+func (b *bed) publish(version uint64, lag float64) {
+	b.t.Helper()
+	var ids []string
+	for _, t := range b.Targets {
+		for id := range t.Replicas {
+			ids = append(ids, id)
+		}
+	}
+	// The order of a map is not part of the seed.
+	sortShuffle(ids, b.random)
+	for _, id := range ids {
+		if b.random.Float64() < lag {
+			continue
+		}
+		b.behave(id, map[string]any{"indexes": []uint64{version - 1, version}})
+	}
+}
+
+// Guards against responses that mix index versions. The versions change under
+// the queries, a third of the replicas lags behind, and one zone is cut off
+// from the other zones and the store and healed while the versions go on.
+func TestPromise01OneSnapshot(t *testing.T) {
+	b := newBed(t)
+	known := b.learn(words)
+	b.startCovered()
+	l := b.drive(150, b.searches(b.Hosts, words))
+	const zone = toucanzone.Name("sierra")
+	version := uint64(3)
+	for round := range 12 {
+		switch round {
+		case 4:
+			b.cutZone(zone)
+			b.cutStore(zone)
+		case 8:
+			b.healZone(zone)
+			b.healStore(zone)
+		}
+		b.publish(version, 0.33)
+		version++
+		require.True(t, b.pause(600*time.Millisecond))
+	}
+	for _, id := range []uint64{version, version + 1} {
+		b.publish(id, 0)
+	}
+	for _, h := range b.Hosts {
+		b.untilFull(h)
+	}
+	all := l.finish()
+	n := b.checkAnswers(known, all)
+	seen := map[uint64]int{}
+	for _, r := range all {
+		if r.Answer != nil {
+			seen[r.Answer.GetSnapshot().GetIndex()]++
+		}
+	}
+	t.Logf("%d answers, by index version %v, ends %v", n, seen, tally(all))
+	require.GreaterOrEqual(t, len(seen), 6, "the test must see the versions change")
+	require.Positive(t, tally(all)["missing/cut"], "the test must see the cut")
+	b.stopHosts()
+	b.checkTargets(b.ledger())
+}
