Keep one replica's wrong index version from stopping a service

Cause: the age bound counted from the newest version that any replica names, so a single replica that names a version far ahead made the version of all others too old, and queries were refused. Change: a version counts as the newest only once it covers half as many shards as the widest one. Before: TestPinIgnoresVersionOfFewShards fails (the far version is pinned, with one shard); after: ok.

--- a/toucanstair/toucansnapshot/inventory_test.go
+++ b/toucanstair/toucansnapshot/inventory_test.go
@@ -100,6 +100,15 @@
 	requirePin(t, h, 9)
 }
 
+// Guards against one replica that names a version far ahead making the version
+// that all others serve too old.
+func TestPinIgnoresVersionOfFewShards(t *testing.T) {
+	h := start("a/1", "sierra")
+	h.serve([]uint64{5}, "sierra1", "sierra2", "sierra3")
+	h.serve([]uint64{5, 1 << 40}, "sierra0")
+	requirePin(t, h, 5)
+}
+
 // Guards against records and entries of sources that are gone hiding what is
 // served now, and against a host that is cut off losing all it knew.
 func TestEntriesExpireUnlessNothingNewerIsKnown(t *testing.T) {
--- a/toucanstair/toucansnapshot/plan.go
+++ b/toucanstair/toucansnapshot/plan.go
@@ -90,9 +90,11 @@
 
 // pick returns the version that covers most shards, the newest among equals,
 // not more than the service's age behind the newest one; 0 when there is none.
+// A version makes others too old only once it covers half as many shards as the
+// best one, so that one replica that names a wrong version does not stop a service.
 func pick(zones map[uint64]map[toucanzone.Name][]byte, s *toucanpb.Service) uint64 {
 	covered := make(map[uint64]int, len(zones))
-	newest := uint64(0)
+	widest := 0
 	for index, parts := range zones {
 		all := newBitmap(s.GetShards())
 		for _, part := range parts {
@@ -100,12 +102,18 @@
 		}
 		if n := all.count(); n > 0 {
 			covered[index] = n
+			widest = max(widest, n)
+		}
+	}
+	newest := uint64(0)
+	for index, n := range covered {
+		if 2*n >= widest {
 			newest = max(newest, index)
 		}
 	}
 	best, most := uint64(0), 0
 	for index, n := range covered {
-		if newest-index > s.GetAge() {
+		if index < newest && newest-index > s.GetAge() {
 			continue
 		}
 		if n > most || n == most && index > best {
