--- a/toucanstair/toucanslot/table_test.go
+++ b/toucanstair/toucanslot/table_test.go
@@ -249,6 +249,7 @@
 		view, released := uint64(1), uint64(0)
 		ts[0].View = func() uint64 { mu.Lock(); defer mu.Unlock(); return view }
 		ts[0].Released = func(v uint64) { mu.Lock(); defer mu.Unlock(); released = v }
+		told := func() uint64 { mu.Lock(); defer mu.Unlock(); return released }
 		ctx, stop := context.WithCancel(t.Context())
 		end := ts[0].Run(ctx)
 		p, err := ts[0].Acquire(ctx, replica)
@@ -261,14 +262,10 @@
 		mu.Unlock()
 		<-time.After(time.Second)
 		require.Equal(t, 1, ts[0].Lost())
-		mu.Lock()
-		require.Equal(t, uint64(0), released) // the first tick came after the view change
-		mu.Unlock()
+		require.Equal(t, uint64(0), told()) // the first tick came after the view change
 		p.Cancel()
 		<-time.After(time.Second)
-		mu.Lock()
-		require.Equal(t, uint64(2), released)
-		mu.Unlock()
+		require.Equal(t, uint64(2), told())
 		ts[1].Note(replica, "b", "draining")
 		_, err = ts[1].Acquire(ctx, replica)
 		require.Equal(t, toucanpb.Code_CODE_REFUSED, toucanfault.As(err).Code)
