Delete the blobs that a published change replaced

Ruled out: store leases on blobs, because the published ones must last. Change: after publishing, the operator's tool deletes the blobs that only the earlier head named. A plan rewrites a blob that is older than its base head, and only entries older than the head are deleted, so a concurrent change that publishes the same content keeps it.

--- a/core/toucanhead/head.go
+++ b/core/toucanhead/head.go
@@ -48,6 +48,7 @@
 type Store interface {
 	Get(ctx context.Context, key string) (*toucanpb.Entry, error)
 	Put(ctx context.Context, key string, value []byte, prev uint64, lease string) (uint64, error)
+	Delete(ctx context.Context, key string, prev uint64) error
 }
 
 // Head is the published configuration in a store.
@@ -172,7 +173,7 @@
 // Apply publishes a plan unless the head has changed since it was made.
 func (h *Head) Apply(ctx context.Context, p *Plan) Result {
 	for _, sum := range slices.Sorted(maps.Keys(p.blobs)) {
-		if err := h.blob(ctx, sum, p.blobs[sum]); err != nil {
+		if err := h.blob(ctx, sum, p.blobs[sum], p.Base.Entry); err != nil {
 			return Result{Phase: Failed, Err: err}
 		}
 	}
@@ -227,9 +228,10 @@
 	return Result{Phase: Lost, Revision: revision, Author: now.Head.GetAuthor()}
 }
 
-// blob writes one file; a blob that is there already is compared, because its
-// content must never change.
-func (h *Head) blob(ctx context.Context, sum string, data []byte) error {
+// blob writes one file. A blob that is there already is compared, because its
+// content must never change, and rewritten if it is older than the head that
+// the plan is based on, because Clean may delete it then.
+func (h *Head) blob(ctx context.Context, sum string, data []byte, base uint64) error {
 	var err error
 	for try := range tries {
 		if try > 0 && !pause(ctx, try) {
@@ -242,12 +244,22 @@
 			continue
 		}
 		var e *toucanpb.Entry
-		if e, err = h.Store.Get(ctx, BlobPrefix+sum); err == nil {
-			if e != nil && BlobSum(e.GetValue()) == sum {
-				return nil
-			}
+		if e, err = h.Store.Get(ctx, BlobPrefix+sum); err != nil {
+			continue
+		}
+		if e == nil {
+			err = toucanfault.NotRun(toucanpb.Code_CODE_CONFLICT, "blob "+sum+" was deleted meanwhile")
+			continue
+		}
+		if BlobSum(e.GetValue()) != sum {
 			return toucanfault.NotRun(toucanpb.Code_CODE_CONFIG, "blob "+sum+" in the store has another digest")
 		}
+		if e.GetRevision() > base {
+			return nil
+		}
+		if _, err = h.Store.Put(ctx, BlobPrefix+sum, data, e.GetRevision(), ""); err == nil {
+			return nil
+		}
 	}
 	return err
 }
--- a/core/toucanhead/head_test.go
+++ b/core/toucanhead/head_test.go
@@ -55,6 +55,16 @@
 	return r, nil
 }
 
+func (s *fakeStore) Delete(_ context.Context, key string, prev uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.entries[key].GetRevision() != prev {
+		return toucanfault.NotRun(toucanpb.Code_CODE_CONFLICT, key)
+	}
+	delete(s.entries, key)
+	return nil
+}
+
 var lost = toucanfault.Unknown(toucanpb.Code_CODE_STORE, "reply lost")
 
 func apply(t *testing.T, h *toucanhead.Head, text, author string) toucanhead.Result {
--- a/toucanctl/toucanoperator/change.go
+++ b/toucanctl/toucanoperator/change.go
@@ -216,6 +216,7 @@
 	}
 	switch r.Phase {
 	case toucanhead.Done:
+		s.head.Clean(ctx, s.plan)
 		c.print(out, func(w io.Writer) { fmt.Fprintf(w, "done at revision %d\n", r.Revision) })
 		return saved
 	case toucanhead.Lost:
--- a/toucanctl/toucanoperator/command.go
+++ b/toucanctl/toucanoperator/command.go
@@ -45,6 +45,7 @@
 type Store interface {
 	Get(ctx context.Context, key string) (*toucanpb.Entry, error)
 	Put(ctx context.Context, key string, value []byte, prev uint64, lease string) (uint64, error)
+	Delete(ctx context.Context, key string, prev uint64) error
 }
 
 // Command is the command line. All fields are needed.
--- a/toucanctl/toucanoperator/command_test.go
+++ b/toucanctl/toucanoperator/command_test.go
@@ -70,6 +70,16 @@
 	return s.writes, nil
 }
 
+func (s *fakeStore) Delete(_ context.Context, key string, prev uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.entries[key].GetRevision() != prev {
+		return toucanfault.NotRun(toucanpb.Code_CODE_CONFLICT, key)
+	}
+	delete(s.entries, key)
+	return nil
+}
+
 func newStore() *fakeStore { return &fakeStore{entries: map[string]*toucanpb.Entry{}} }
 
 // ctl runs a command on a store and returns its exit code and output.
