--- /dev/null
+++ b/integration/once_test.go
@@ -0,0 +1,143 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"toucanstair.example/core/toucanpb"
+	"toucanstair.example/core/toucanspec"
+)
+
+const (
+	// A caller gives a host up after this time and repeats its key elsewhere.
+	repeatLimit = 1500 * time.Millisecond
+	repeats     = 5 // requests for one key
+	repeatPause = 80 * time.Millisecond
+)
+
+// insist starts callers that make up a key, send it to a random host and
+// repeat it at others until it is done. One key in four goes to two hosts at
+// once. finish returns all requests.
+func (b *bed) insist(callers int) (finish func() []request) {
+	ctx, stop := context.WithCancel(b.ctx)
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	var mu sync.Mutex
+	var all []request
+	send := func(r *rand.Rand, q *toucanpb.Query) bool {
+		limit, cancel := context.WithTimeout(b.ctx, repeatLimit)
+		defer cancel()
+		end := ask(limit, client, b.Hosts[r.IntN(len(b.Hosts))], q)
+		mu.Lock()
+		defer mu.Unlock()
+		all = append(all, end)
+		return end.Err == nil
+	}
+	var group sync.WaitGroup
+	for n := range callers {
+		group.Go(func() {
+			r := rand.New(rand.NewPCG(b.seed, 100+uint64(n)))
+			for serial := 0; ctx.Err() == nil; serial++ {
+				s := b.Plan.Services[r.IntN(len(b.Plan.Services))]
+				q := &toucanpb.Query{
+					Service: string(s.Name), Route: s.Routes[1].Name, Query: fmt.Sprintf("caller %d write %d,", n, serial),
+					Limit: 1, Timeout: "1s", Key: fmt.Sprintf("once-%d-%d", n, serial),
+				}
+				if r.IntN(4) == 0 {
+					twin := rand.New(rand.NewPCG(b.seed, r.Uint64()))
+					group.Go(func() { send(twin, q) })
+				}
+				for try := 0; try < repeats && !send(r, q); try++ {
+					b.pause(repeatPause)
+				}
+			}
+		})
+	}
+	end := func() []request {
+		stop()
+		group.Wait()
+		client.CloseIdleConnections()
+		return all
+	}
+	b.t.Cleanup(func() { end() })
+	return end
+}
+
+// Guards against a key that runs twice. Callers give up after a while and
+// repeat their keys at other hosts, while hosts are killed, and frozen with
+// writes in progress and resumed after their lease, the store is slow and
+// loses replies after the effect, and connections to targets are reset after
+// the request was sent.
+func TestPromise08AtMostOnce(t *testing.T) {
+	b := newBed(t)
+	b.proxied = func(string) bool { return true }
+	for i := range b.Plan.Services {
+		b.Plan.Services[i].Behaviour.Work.Median = toucanspec.Duration(40 * time.Millisecond)
+	}
+	b.Plan.Args = append(b.Plan.Args, "--claims", "500")
+	b.startCovered()
+	// The delay widens the time between the claim and the send.
+	slow := map[string]any{"delay": "15ms"}
+	b.storeFault(slow)
+	finish := b.insist(24)
+	var replicas []string
+	for id := range b.targets {
+		replicas = append(replicas, id)
+	}
+	sortShuffle(replicas, b.random)
+	// shake resets connections to targets and loses replies for a while.
+	shake := func(rounds int) {
+		for range rounds {
+			b.targets[replicas[b.random.IntN(len(replicas))]].reset()
+			if b.random.IntN(3) == 0 {
+				b.storeFault(map[string]any{"delay": "15ms", "lose": 2})
+			}
+			require.True(t, b.pause(100*time.Millisecond))
+		}
+	}
+	shake(10)
+	frozen, killed := b.host("sierra-1"), b.host("costa-2")
+	b.freeze(frozen)
+	shake(15)
+	b.kill(killed)
+	shake(25)
+	b.thaw(frozen)
+	shake(10)
+	b.restart(killed)
+	b.freeze(b.host("oriente-2"))
+	shake(8)
+	b.thaw(b.host("oriente-2"))
+	shake(10)
+	b.storeFault(map[string]any{})
+	all := finish()
+	b.stopHosts()
+	ledger := b.ledger()
+	ends, ran := tally(all), 0
+	for key, n := range runs(ledger) {
+		if key != "" {
+			ran += int(n)
+		}
+	}
+	keys := map[string]int{}
+	for _, r := range all {
+		keys[r.Query.GetKey()]++
+	}
+	repeated := 0
+	for _, n := range keys {
+		if n > 1 {
+			repeated++
+		}
+	}
+	t.Logf("%d requests for %d keys, %d keys repeated, %d runs, ends %v", len(all), len(keys), repeated, ran, ends)
+	b.checkOnce(all, ledger)
+	require.Greater(t, repeated, 50, "the test must see repeated keys")
+	for _, word := range []string{"done", "notrun/duplicate", "unknown/down"} {
+		require.Positive(t, ends[word], "the test must see %s", word)
+	}
+}
