--- a/toucanload/main.go
+++ b/toucanload/main.go
@@ -24,6 +24,7 @@
 	"toucanstair.example/toucanload/toucanbench"
 	"toucanstair.example/toucanload/toucandrive"
 	"toucanstair.example/toucanload/toucanreport"
+	"toucanstair.example/toucanload/toucanslope"
 )
 
 func main() {
@@ -97,7 +98,28 @@
 	f.StringSliceVar(&s.Callers, "callers", nil, "addresses of the hosts' listeners for callers")
 	f.StringSliceVar(&ops, "ops", nil, "addresses of the hosts' listeners for operators, for the extra load")
 	f.StringSliceVar(&ledgers, "ledgers", nil, "admin addresses of toucantarget processes")
-	c.AddCommand(benchCommand())
+	c.AddCommand(benchCommand(), slopesCommand())
+	return c
+}
+
+func slopesCommand() *cobra.Command {
+	var at float64
+	c := &cobra.Command{
+		Use:           "slopes",
+		Short:         "Fit lines and powers to the output of go test -bench on standard input",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(c *cobra.Command, _ []string) error {
+			slopes, err := toucanslope.Read(c.InOrStdin())
+			if err != nil {
+				return err
+			}
+			toucanslope.Write(c.OutOrStdout(), slopes, at)
+			return nil
+		},
+	}
+	c.Flags().Float64Var(&at, "at", 103, "size to which the fits are extended")
 	return c
 }
 
--- a/toucanstair/toucancell/cell_test.go
+++ b/toucanstair/toucancell/cell_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"runtime"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -302,7 +303,8 @@
 	}
 }
 
-const benchmarkShards = 180
+// The slope over the legs of a query gives the cost of one leg.
+var benchmarkShards = []int{20, 60, 180}
 
 // processTime is the processor time of this process, which other load on the
 // machine changes less than the elapsed time.
@@ -312,8 +314,8 @@
 	return u.Utime.Nano() + u.Stime.Nano()
 }
 
-func benchmark(b *testing.B, c *toucancell.Cell) {
-	l := make([]*toucanpb.Leg, benchmarkShards)
+func benchmark(b *testing.B, c *toucancell.Cell, shards int) {
+	l := make([]*toucanpb.Leg, shards)
 	for i := range l {
 		l[i] = leg(i)
 	}
@@ -323,7 +325,7 @@
 	var failed atomic.Int64
 	var next atomic.Int64
 	var all sync.WaitGroup
-	for w := range benchmarkShards {
+	for w := range shards {
 		all.Go(func() {
 			for next.Add(1) <= int64(b.N) {
 				if c.Run(context.Background(), l[w]).GetCode() != 0 {
@@ -372,14 +374,93 @@
 }
 
 func BenchmarkDirect(b *testing.B) {
-	f := start(b, benchmarkShards, 1, nil)
+	for _, n := range benchmarkShards {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			f := start(b, n, 1, nil)
+			rawTargets(b, f)
+			f.warm(b)
+			benchmark(b, f.Cell, n)
+		})
+	}
+}
+
+// BenchmarkTargets reports what the fake targets and a client without HTTP cost,
+// half of which is the part of the targets in the other benchmarks.
+func BenchmarkTargets(b *testing.B) {
+	f := start(b, 180, 1, nil)
 	rawTargets(b, f)
-	f.warm(b)
-	benchmark(b, f.Cell)
+	var conns []net.Conn
+	for _, r := range f.zone.catalog.Rules().GetServices()[0].GetReplicas() {
+		c, err := (&net.Dialer{}).DialContext(b.Context(), "tcp", r.GetAddress())
+		require.NoError(b, err)
+		b.Cleanup(func() { c.Close() })
+		conns = append(conns, c)
+	}
+	request := make([]byte, 320)
+	used := processTime(b)
+	var next atomic.Int64
+	var all sync.WaitGroup
+	for _, c := range conns {
+		all.Go(func() {
+			in := make([]byte, 4096)
+			for next.Add(1) <= int64(b.N) {
+				if _, err := c.Write(request); err != nil {
+					return
+				}
+				if _, err := c.Read(in); err != nil {
+					return
+				}
+			}
+		})
+	}
+	all.Wait()
+	b.ReportMetric(float64(processTime(b)-used)/float64(b.N)/1e3, "cpu-us/leg")
+}
+
+// BenchmarkFan reports the time in which one query's legs end when the host
+// runs nothing else: the time of the last leg, and of one leg alone at size 1.
+func BenchmarkFan(b *testing.B) {
+	for _, n := range []int{1, 20, 60, 180} {
+		b.Run(fmt.Sprint("direct/", n), func(b *testing.B) {
+			f := start(b, n, 1, nil)
+			rawTargets(b, f)
+			f.warm(b)
+			fan(b, f.Cell, n)
+		})
+		b.Run(fmt.Sprint("peer/", n), func(b *testing.B) { throughPeer(b, n, fan) })
+	}
+}
+
+func fan(b *testing.B, c *toucancell.Cell, n int) {
+	var took []time.Duration
+	used := processTime(b)
+	for range b.N {
+		began := time.Now()
+		var all sync.WaitGroup
+		for i := range n {
+			all.Go(func() {
+				if r := c.Run(context.Background(), leg(i)); r.GetCode() != 0 {
+					b.Error(r)
+				}
+			})
+		}
+		all.Wait()
+		took = append(took, time.Since(began))
+	}
+	slices.Sort(took)
+	b.ReportMetric(float64(took[len(took)/2].Microseconds()), "p50-us")
+	b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), "p99-us")
+	b.ReportMetric(float64(processTime(b)-used)/float64(b.N)/1e3, "cpu-us/query")
 }
 
 func BenchmarkThroughPeer(b *testing.B) {
-	f := start(b, benchmarkShards, 1, nil)
+	for _, n := range benchmarkShards {
+		b.Run(fmt.Sprint(n), func(b *testing.B) { throughPeer(b, n, benchmark) })
+	}
+}
+
+func throughPeer(b *testing.B, n int, run func(*testing.B, *toucancell.Cell, int)) {
+	f := start(b, n, 1, nil)
 	rawTargets(b, f)
 	f.warm(b)
 	l, err := (&net.ListenConfig{}).Listen(b.Context(), "tcp", "127.0.0.1:0")
@@ -388,7 +469,7 @@
 	end := (&toucanpeer.Server{Runner: f.Cell}).Run(ctx, l)
 	link := &toucanpeerlink.Link{}
 	z := &zone{self: &toucanpb.Member{Id: "h1"}, owner: &toucanpb.Member{Id: "h0", Address: l.Addr().String()}, catalog: f.zone.catalog}
-	benchmark(b, cell(b, z, link))
+	run(b, cell(b, z, link), n)
 	b.StopTimer()
 	link.Close()
 	stop()
--- a/toucanstair/toucanconfig/bench_test.go
+++ b/toucanstair/toucanconfig/bench_test.go
@@ -2,31 +2,43 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"toucanstair.example/core/toucanhead"
 	"toucanstair.example/core/toucanpb"
 )
 
+func processTime(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &u))
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// The processor time includes the digests of the benchmark's own files.
 func BenchmarkAcceptOneChangedFile(b *testing.B) {
-	for _, n := range []int{2342, 20000} {
+	for _, n := range []int{2342, 10000, 40000, 89000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			files := map[string]string{"00.yaml": "zones: [{name: sierra}]\nservices:\n  - {name: letters, shards: 5000, slots: 3, connections: 100, connect: 1ms, routes: [{name: find, timeout: 1s}]}\n"}
+			files := map[string]string{"00.yaml": "zones: [{name: sierra}]\nservices:\n  - {name: letters, shards: 25000, slots: 3, connections: 100, connect: 1ms, routes: [{name: find, timeout: 1s}]}\n"}
 			for i := 0; i < n; i += 500 {
 				var t strings.Builder
 				t.WriteString("services:\n  - name: letters\n    replicas:\n")
 				for j := i; j < min(i+500, n); j++ {
-					fmt.Fprintf(&t, "      - {id: l%d, shard: %d, zone: sierra, address: \"10.1.%d.%d:80\"}\n", j, j/4, j/250, j%250+1)
+					fmt.Fprintf(&t, "      - {id: l%d, shard: %d, zone: sierra, address: \"10.%d.%d.%d:80\"}\n", j, j/4, j/50000, j/250%200, j%250+1)
 				}
 				files[fmt.Sprintf("20-%03d.yaml", i/500)] = t.String()
 			}
 			k := &Keeper{}
+			var head *toucanpb.Head
 			put := func(revision uint64) {
 				files["10-out.yaml"] = fmt.Sprintf("# %d\nout: []\n", revision)
-				head := &toucanpb.Head{Revision: revision, Change: "c"}
+				head = &toucanpb.Head{Revision: revision, Change: "c"}
 				blobs := map[string][]byte{}
 				for name, text := range files {
 					sum := toucanhead.BlobSum([]byte(text))
@@ -37,13 +49,24 @@
 				require.True(b, k.put(head, blobs, fromStore))
 				b.StopTimer()
 			}
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
 			put(1)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
 			b.ReportAllocs()
 			b.ResetTimer()
 			b.StopTimer()
+			used := processTime(b)
 			for i := range b.N {
 				put(uint64(i) + 2)
 			}
+			b.ReportMetric((processTime(b)-used).Seconds()*1e3/float64(b.N), "cpu-ms/op")
+			// A change costs a host the head and each changed file.
+			b.ReportMetric(float64(proto.Size(head)), "head-B")
+			b.ReportMetric(float64(len(files["20-000.yaml"])), "file-B")
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1e6, "held-MB")
 		})
 	}
 }
