--- a/toucanstair/toucancell/cell.go
+++ b/toucanstair/toucancell/cell.go
@@ -29,8 +29,9 @@
 	// attempts is the most replicas that one leg is sent to.
 	attempts = 3
 	// onceGrace is how long after its deadline a once-only leg waits for the
-	// owner's own outcome, which may still be notrun.
-	onceGrace = 20 * time.Millisecond
+	// owner's own outcome, which may be notrun. It exceeds the 250 ms that an
+	// exchange waits for a target to close; a leg in the queue ends at once.
+	onceGrace = 300 * time.Millisecond
 	// settleTimeout bounds the store calls that settle a leg of a lost peer.
 	settleTimeout = time.Second
 )
@@ -141,10 +142,13 @@
 	ctx, cancel := within(ctx, leg)
 	defer cancel() // also cancels the attempts that lost
 	legs.Inc()
-	if !r.launch(ctx, false) {
+	if !r.launch(ctx, leg.GetExtra()) {
 		return refusal(leg, r.none())
 	}
-	c.Budget.Sent()
+	if !leg.GetExtra() && len(r.candidates) > 1 {
+		// Legs that this cell cannot hedge are in the coordinator's budget.
+		c.Budget.Sent()
+	}
 	return r.wait(ctx)
 }
 
@@ -268,17 +272,26 @@
 	if res.GetCode() == toucanpb.Code_CODE_UNSPECIFIED {
 		return true
 	}
-	// The first failure is kept, because a keyed retry after a claim was
-	// voided fails with a duplicate, which says less.
+	// The first failure is kept unless a later one may have run.
 	if r.failure == nil || r.failure.GetOutcome() == toucanpb.Outcome_OUTCOME_NOTRUN && res.GetOutcome() == toucanpb.Outcome_OUTCOME_UNKNOWN {
 		r.failure = res
 	}
-	if t.from != fromSettled && r.retryable(res) && ctx.Err() == nil {
+	if t.from != fromSettled && !r.claimed(t) && r.retryable(res) && ctx.Err() == nil {
 		r.extra(ctx, retries)
 	}
 	return false
 }
 
+// claimed reports whether an owner took the claim of a keyed leg. The claim is
+// voided in the background and lists the attempt, so no other owner may send
+// it; the caller may repeat the request as a new attempt.
+func (r *run) claimed(t try) bool {
+	if !r.leg.GetOnce() || r.leg.GetKey() == "" || t.from != fromOwner {
+		return false
+	}
+	return t.result.GetSent() > 0 || t.result.GetCode() == toucanpb.Code_CODE_DOWN
+}
+
 func (r *run) retryable(res *toucanpb.LegResult) bool {
 	if r.leg.GetOnce() && res.GetOutcome() != toucanpb.Outcome_OUTCOME_NOTRUN {
 		return false
