--- a/toucanstair/toucanmember/slopes_test.go
+++ b/toucanstair/toucanmember/slopes_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"runtime"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -606,6 +607,60 @@
 	}
 }
 
+// BenchmarkCut reports how long it takes until no member counts on the cut-off
+// zones any more, and until all count on them again after the cut has healed.
+func BenchmarkCut(b *testing.B) {
+	for _, zones := range []int{1, 34} {
+		for _, n := range sizes(6, 24, 48) {
+			b.Run(fmt.Sprintf("zones=%d/members=%d", zones, n), func(b *testing.B) {
+				for range b.N {
+					inBubble(b, func(t *testing.T) { cut(t, b, n, zones) })
+				}
+			})
+		}
+	}
+}
+
+func cut(t *testing.T, b *testing.B, n, zones int) {
+	ctx, stop := context.WithCancel(t.Context())
+	f := start(ctx, t, 4, n, false, false)
+	known := func(want int) time.Duration {
+		began := time.Now()
+		for right := 0; right < n; {
+			require.NoError(t, pass(ctx, 200*time.Millisecond))
+			require.Less(t, time.Since(began), time.Minute)
+			right = 0
+			for _, m := range f.members[:n] {
+				serving := 0
+				for _, bitmap := range m.inventory.Serves("service-00", f.catalog, 1000) {
+					if slices.Max(bitmap) > 0 {
+						serving++
+					}
+				}
+				if serving == want {
+					right++
+				}
+			}
+		}
+		return time.Since(began)
+	}
+	b.ReportMetric(known(otherZones+1).Seconds(), "s-start")
+	before := f.writes.Load()
+	for _, m := range f.members[n : n+zones] {
+		f.dead.Store(m.Self().GetAddress(), true)
+	}
+	b.ReportMetric(known(otherZones+1-zones).Seconds(), "s-noticed")
+	f.dead.Clear()
+	b.ReportMetric(known(otherZones+1).Seconds(), "s-back")
+	b.ReportMetric(float64(f.writes.Load()-before), "writes")
+	stop()
+	for _, m := range f.members {
+		for _, e := range m.ends {
+			require.NoError(t, <-e)
+		}
+	}
+}
+
 // BenchmarkRelay reports the time from the write of a change to the store until
 // it is in effect on the watchers and on all members of a zone.
 func BenchmarkRelay(b *testing.B) {
