Remove members that were lost together in one view change

Cause: each removal was a view change of its own, and a view lists 16 earlier ones. Ruled out: a longer list, which only moves the number and makes the view larger (1 KB for each member). Change: voters name the other members that they do not hear; one host polls the voters of all of them and removes those with enough promises in one compare-and-swap. After a lost race it decides again under the new view with the promises it has. In zones above 8 members first attempts are spread over 1 s. TestMembersLostTogetherAreRemoved (20 of 60) leaves 3 members without the change.

--- a/toucanstair/toucanmember/loop.go
+++ b/toucanstair/toucanmember/loop.go
@@ -69,8 +69,8 @@
 		m.background(ctx, "join", m.join)
 	} else {
 		m.beatRound(ctx, &m.group)
-		for _, id := range suspects {
-			m.background(ctx, "remove "+string(id), func(ctx context.Context) { m.tryRemove(ctx, id) })
+		if len(suspects) > 0 {
+			m.background(ctx, "remove", func(ctx context.Context) { m.tryRemove(ctx, suspects) })
 		}
 		m.tendWitness(ctx, now)
 	}
--- a/toucanstair/toucanmember/removal.go
+++ b/toucanstair/toucanmember/removal.go
@@ -52,44 +52,81 @@
 	}
 	reply.Promised = p.promised
 	reply.Held = p.held
+	for _, other := range m.suspects(now) {
+		if other != id && len(reply.Suspects) < maxSuspects {
+			reply.Suspects = append(reply.Suspects, string(other))
+		}
+	}
 	return reply, nil
 }
 
-// tryRemove asks the voters of a member for their promises and removes it when
-// they suffice. It first reads the store: without it a removal cannot succeed,
-// and promises would only weaken the member's quorum. For the same reason this
-// host's own promise comes last.
-func (m *Manager) tryRemove(ctx context.Context, id toucanhost.ID) {
-	if !m.mayTry(id) {
+// tryRemove asks the voters of silent members for their promises and removes
+// those for which they suffice in one view change. It first reads the store:
+// without it a removal cannot succeed, and promises would only weaken the
+// members' quorums. For the same reason this host's own promises come last.
+func (m *Manager) tryRemove(ctx context.Context, ids []toucanhost.ID) {
+	ids = slices.DeleteFunc(ids, func(id toucanhost.ID) bool { return !m.mayTry(id) })
+	if len(ids) == 0 {
 		return
 	}
 	v, revision, err := m.read(ctx)
-	if err != nil || revision == 0 || v.Member(id) == nil || v.Member(m.id()) == nil {
+	if err != nil || revision == 0 || v.Member(m.id()) == nil {
 		return
 	}
-	promised, held := m.poll(ctx, v, id)
-	m.markGone(v, id, promised)
 	own := m.id()
-	promised[own] = true
-	if !v.MayRemove(id, promised, held) {
-		m.set.Log.Debug("too few promises to remove a member", zap.String("id", string(id)), zap.Int("promises", len(promised)))
-		return
+	ballots := m.ballots(ctx, v, ids)
+	for range writeTries {
+		causes := make(map[toucanhost.ID]toucanpb.Removal_Cause)
+		for id, b := range ballots {
+			if cause, ok := m.decide(v, id, own, b); ok {
+				causes[id] = cause
+			}
+		}
+		if len(causes) == 0 {
+			return
+		}
+		err = m.write(ctx, v.RemoveAll(causes, m.chooseWitness("")), revision)
+		if err == nil {
+			m.set.Log.Warn("removed members", zap.Any("causes", causes))
+			return
+		}
+		if !isConflict(err) {
+			break
+		}
+		// Promises hold under every later view, so they need not be asked for again.
+		if v, revision, err = m.read(ctx); err != nil || v.Member(own) == nil {
+			break
+		}
 	}
-	if !m.promise(id, own) {
-		return
+	m.set.Log.Info("removal not written", zap.Error(err))
+}
+
+// decide reports whether a member may be removed, and then makes this host's
+// own promise if it is a voter of the member.
+func (m *Manager) decide(v toucanview.View, id, own toucanhost.ID, b *ballot) (toucanpb.Removal_Cause, bool) {
+	if v.Member(id) == nil {
+		return 0, false
 	}
-	cause := toucanpb.Removal_CAUSE_VOTED
-	if promised[id] {
-		cause = toucanpb.Removal_CAUSE_GONE
+	m.markGone(v, id, b.promised)
+	if b.own {
+		b.promised[own] = true
 	}
-	if err := m.write(ctx, v.Remove(id, cause, m.chooseWitness(id)), revision); err != nil {
-		m.set.Log.Info("removal not written", zap.String("id", string(id)), zap.Error(err))
-		return
+	if !v.MayRemove(id, b.promised, b.held) {
+		m.set.Log.Debug("too few promises to remove a member", zap.String("id", string(id)), zap.Int("promises", len(b.promised)))
+		return 0, false
+	}
+	if b.own && !m.promise(id, own) {
+		return 0, false
 	}
-	m.set.Log.Warn("removed a member", zap.String("id", string(id)), zap.Stringer("cause", cause))
+	if b.promised[id] {
+		return toucanpb.Removal_CAUSE_GONE, true
+	}
+	return toucanpb.Removal_CAUSE_VOTED, true
 }
 
-// mayTry limits the attempts to remove one member.
+// mayTry limits the attempts to remove one member. In a large zone the first
+// attempt of each voter is spread over retryFirst, so that one of them removes
+// all the members that were lost together before the others try.
 func (m *Manager) mayTry(id toucanhost.ID) bool {
 	now := time.Now()
 	m.mu.Lock()
@@ -98,7 +135,12 @@
 	if now.Before(p.retry) {
 		return false
 	}
+	spread := p.wait == 0 && len(m.standing.Load().view.Members()) > largeZone
 	p.wait = min(max(2*p.wait, retryFirst), retryLast)
+	if spread {
+		p.retry = now.Add(m.jitter(p.wait))
+		return false
+	}
 	p.retry = now.Add(p.wait/2 + m.jitter(p.wait))
 	return true
 }
@@ -117,19 +159,56 @@
 	return true
 }
 
-// poll asks every host that may be a voter of the member, and returns who
-// promised and the last view that the member is known to hold.
-func (m *Manager) poll(ctx context.Context, v toucanview.View, id toucanhost.ID) (map[toucanhost.ID]bool, uint64) {
+// ballot is what the voters of one member said.
+type ballot struct {
+	promised map[toucanhost.ID]bool
+	held     uint64 // last view that the member is known to hold
+	own      bool   // this host is one of the voters
+	suspects []string
+}
+
+// ballots polls the voters of the members, and of the further members that
+// those voters do not hear, so that members lost together are removed together.
+func (m *Manager) ballots(ctx context.Context, v toucanview.View, ids []toucanhost.ID) map[toucanhost.ID]*ballot {
+	out := make(map[toucanhost.ID]*ballot)
+	for range ballotRounds {
+		next := make(map[toucanhost.ID]chan *ballot)
+		for _, id := range ids {
+			if out[id] != nil || next[id] != nil || id == m.id() || v.Member(id) == nil {
+				continue
+			}
+			polled := make(chan *ballot, 1)
+			next[id] = polled
+			m.group.Go(func() { polled <- m.poll(ctx, v, id) })
+		}
+		ids = nil
+		for id, polled := range next {
+			b := <-polled
+			out[id] = b
+			for _, s := range b.suspects {
+				ids = append(ids, toucanhost.ID(s))
+			}
+		}
+		if len(ids) == 0 {
+			break
+		}
+	}
+	return out
+}
+
+// poll asks every host that may be a voter of the member.
+func (m *Manager) poll(ctx context.Context, v toucanview.View, id toucanhost.ID) *ballot {
 	m.mu.Lock()
-	held := m.peer(id, time.Now()).held
+	b := &ballot{promised: make(map[toucanhost.ID]bool), held: m.peer(id, time.Now()).held}
 	m.mu.Unlock()
 	voters := make(map[toucanhost.ID]*toucanpb.Member)
-	span, _ := v.Span(id, held)
+	span, _ := v.Span(id, b.held)
 	for _, w := range span {
 		for _, o := range w.Voters(id) {
 			voters[toucanhost.ID(o.GetId())] = o
 		}
 	}
+	b.own = voters[m.id()] != nil
 	delete(voters, id)
 	delete(voters, m.id())
 	replies := make(chan *toucanpb.VoteReply, len(voters))
@@ -142,15 +221,15 @@
 			replies <- r
 		})
 	}
-	promised := make(map[toucanhost.ID]bool)
 	for range voters {
 		r := <-replies
-		held = max(held, r.GetHeld())
+		b.held = max(b.held, r.GetHeld())
+		b.suspects = append(b.suspects, r.GetSuspects()...)
 		if r.GetPromised() {
-			promised[toucanhost.ID(r.GetSender().GetId())] = true
+			b.promised[toucanhost.ID(r.GetSender().GetId())] = true
 		}
 	}
-	return promised, held
+	return b
 }
 
 func (m *Manager) ask(ctx context.Context, to *toucanpb.Member, id toucanhost.ID) *toucanpb.VoteReply {
--- a/toucanstair/toucanmember/settings.go
+++ b/toucanstair/toucanmember/settings.go
@@ -75,6 +75,10 @@
 	maxContacts  = 8                // kept for each other zone
 	awaitedLimit = 16               // members asked for their release in one round
 	retryFirst   = time.Second      // between attempts to remove a member
+	largeZone    = 8                // members above which first attempts are spread
+	ballotRounds = 4                // in which suspects of suspects' voters are polled
+	writeTries   = 4                // of one removal against other view changes
+	maxSuspects  = 64               // named in one reply to a vote
 	retryLast    = 4 * time.Second
 	peerMemory   = 10 * time.Minute // for which hosts outside of the view are remembered
 	watchers     = 2
--- a/toucanstair/toucanmember/slopes_test.go
+++ b/toucanstair/toucanmember/slopes_test.go
@@ -399,6 +399,8 @@
 	return out, nil
 }
 
+func (w wire) Delete(context.Context, string, uint64) error { return nil }
+
 func (w wire) Put(ctx context.Context, key string, value []byte, prev uint64, _ string) (uint64, error) {
 	if err := w.storeCall(ctx, &w.f.writes); err != nil {
 		return 0, err
@@ -553,6 +555,24 @@
 	}
 }
 
+// reporter takes the figures of a run; a test drops them.
+type reporter interface {
+	ReportMetric(value float64, unit string)
+}
+
+type silent struct{}
+
+func (silent) ReportMetric(float64, string) {}
+
+// Guards against members lost together that stay in the view for ever, because
+// one view change for each passed the number of earlier views that are listed.
+func TestMembersLostTogetherAreRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const members, lost = 60, 20
+		require.Zero(t, lose(t, silent{}, members, lost))
+	})
+}
+
 // BenchmarkLoss reports how long the removal of dead hosts takes, and its cost.
 func BenchmarkLoss(b *testing.B) {
 	for _, n := range sizes(6, 24, 96) {
@@ -566,7 +586,7 @@
 	}
 }
 
-func lose(t *testing.T, b *testing.B, n, lost int) {
+func lose(t *testing.T, b reporter, n, lost int) int {
 	ctx, stop := context.WithCancel(t.Context())
 	f := start(ctx, t, 2, n, false, true)
 	require.NoError(t, pass(ctx, 5*time.Second))
@@ -605,6 +625,7 @@
 			require.NoError(t, <-e)
 		}
 	}
+	return left
 }
 
 // BenchmarkCut reports how long it takes until no member counts on the cut-off
--- a/toucanstair/toucanview/view.go
+++ b/toucanstair/toucanview/view.go
@@ -3,6 +3,7 @@
 package toucanview
 
 import (
+	"maps"
 	"slices"
 
 	"google.golang.org/protobuf/proto"
@@ -235,8 +236,17 @@
 
 // Remove returns the view after a member left or was removed.
 func (v View) Remove(id toucanhost.ID, cause toucanpb.Removal_Cause, witness *toucanpb.Member) View {
+	return v.RemoveAll(map[toucanhost.ID]toucanpb.Removal_Cause{id: cause}, witness)
+}
+
+// RemoveAll returns the view after several members were removed at once, each
+// of which MayRemove allows under v. One view change for all keeps the views
+// that they may hold within the ones that are listed.
+func (v View) RemoveAll(causes map[toucanhost.ID]toucanpb.Removal_Cause, witness *toucanpb.Member) View {
 	n := v.next(v.Zone())
-	n.drop(id, cause)
+	for _, id := range slices.Sorted(maps.Keys(causes)) {
+		n.drop(id, causes[id])
+	}
 	return n.witnessed(witness)
 }
 
