Ask the next host of a zone for a non-idempotent leg that did not run

Cause: the coordinator asked one host of a remote zone for a non-idempotent leg and gave up even when nothing of the leg had been sent to that host. A host that has stopped stays the most recently heard contact of its zone for a moment, so its planned stop made other hosts refuse requests, as "down", "not run".

Ruled out: a leg cut at the stopping host. The refusals say "peer not reached" and took less than 2 ms, and the ledgers show no run for them.

The next host is asked only after the outcome "not run", of the link or of a host without a lease or about to stop. A repeat keeps its attempt id, so a claim that was voided for the attempt still refuses it.

--- a/toucanstair/toucanquery/leg.go
+++ b/toucanstair/toucanquery/leg.go
@@ -186,8 +186,7 @@
 
 // runRemote asks the zone's contacts in turn. The next one is asked only if the
 // leg did not run at the one before, or if that one was lost and the leg is
-// idempotent; the repeat takes a token of the budget and is marked extra. A
-// non-idempotent leg is tried at one only.
+// idempotent; the repeat takes a token of the budget and is marked extra.
 func (c *Coordinator) runRemote(ctx context.Context, z toucanzone.Name, leg *toucanpb.Leg) *toucanpb.LegResult {
 	hosts := c.Contacts.Contacts(z)
 	last := toucanfault.NotRun(toucanpb.Code_CODE_CUT, "no host of zone "+string(z)+" is known")
@@ -195,7 +194,7 @@
 	for _, m := range hosts[:min(len(hosts), maxContacts)] {
 		result, err := c.Link.Do(ctx, m.GetAddress(), leg)
 		if err == nil {
-			if leg.GetOnce() || ctx.Err() != nil || !cannotServe(result.GetOutcome(), result.GetCode()) {
+			if ctx.Err() != nil || !cannotServe(result.GetOutcome(), result.GetCode()) {
 				return result
 			}
 			last = toucanfault.NotRun(result.GetCode(), result.GetDetail())
@@ -204,7 +203,7 @@
 		if last = toucanfault.As(err); last == nil {
 			last = toucanfault.Unknown(toucanpb.Code_CODE_DOWN, "link failed").Because(err)
 		}
-		if leg.GetOnce() || ctx.Err() != nil {
+		if ctx.Err() != nil || leg.GetOnce() && last.Outcome != toucanpb.Outcome_OUTCOME_NOTRUN {
 			return refusal(leg, last)
 		}
 		down := last.Code == toucanpb.Code_CODE_DOWN
