Run a non-idempotent leg in the next zone when it did not run in the first

Cause: the coordinator tried one zone for a non-idempotent leg. While the store is down, the slots of a host that stopped stay unused, and a replica whose first slot it owned has no open slot in its zone. Requests for it were refused as "down", "not run", although the replica of another zone could run them; idempotent legs moved there.

Ruled out: a leg cut at the stopping host. The refusals say "peer not reached" and began up to 5 s after the host had exited with code 0.

The next zone is tried only after the outcome "not run" with a code that moves idempotent legs too. A keyed leg stays when the code is down, because its owner may have claimed the key before it failed to connect.

--- a/toucanstair/toucanquery/once.go
+++ b/toucanstair/toucanquery/once.go
@@ -12,6 +12,7 @@
 	"toucanstair.example/core/toucanrank"
 	"toucanstair.example/core/toucanservice"
 	"toucanstair.example/core/toucanshard"
+	"toucanstair.example/core/toucanzone"
 )
 
 // runOnce runs a non-idempotent request with a single leg on the shard that
@@ -28,7 +29,7 @@
 	}
 	leg := t.leg(shard, 0)
 	ends := make(chan *toucanpb.LegResult, 1)
-	go func() { ends <- c.runZone(ctx, zones[0], leg) }()
+	go func() { ends <- c.runFirst(ctx, t, shard, zones) }()
 	var r *toucanpb.LegResult
 	select {
 	case r = <-ends:
@@ -56,6 +57,21 @@
 	return nil, c.settle(ctx, t, leg, r)
 }
 
+// runFirst runs a non-idempotent leg in the first zone, and in the next one if
+// nothing of it can have been sent in the first.
+func (c *Coordinator) runFirst(ctx context.Context, t *task, shard toucanshard.ID, zones []toucanzone.Name) *toucanpb.LegResult {
+	r := c.runZone(ctx, zones[0], t.leg(shard, 0))
+	if len(zones) == 1 || ctx.Err() != nil || r.GetOutcome() != toucanpb.Outcome_OUTCOME_NOTRUN || !moves(r.GetCode(), r) {
+		return r
+	}
+	if r.GetCode() == toucanpb.Code_CODE_DOWN && t.query.GetKey() != "" {
+		// The owner may have claimed the key before it failed to connect; the
+		// claim would refuse the leg elsewhere as a duplicate.
+		return r
+	}
+	return c.runZone(ctx, zones[1], t.leg(shard, 0))
+}
+
 // settle returns the failure of a request that was not done. Where the host
 // that had the leg was lost, a claim that is voided proves that it did not run.
 func (c *Coordinator) settle(ctx context.Context, t *task, leg *toucanpb.Leg, r *toucanpb.LegResult) error {
--- a/toucanstair/toucanquery/query_test.go
+++ b/toucanstair/toucanquery/query_test.go
@@ -377,6 +377,42 @@
 	}
 }
 
+// Guards against a non-idempotent request that is refused though another zone
+// could run it, and against one that goes to a second zone after it may have
+// run or claimed its key in the first.
+func TestOnceMovesToNextZoneOnlyIfNotRun(t *testing.T) {
+	const notrun, unknown = toucanpb.Outcome_OUTCOME_NOTRUN, toucanpb.Outcome_OUTCOME_UNKNOWN
+	for _, k := range []struct {
+		name    string
+		key     string
+		outcome toucanpb.Outcome
+		code    toucanpb.Code
+		moves   bool
+	}{
+		{"zone out", "k", notrun, toucanpb.Code_CODE_OUT, true},
+		{"no owner reached", "", notrun, toucanpb.Code_CODE_DOWN, true},
+		{"no owner reached, may be claimed", "k", notrun, toucanpb.Code_CODE_DOWN, false},
+		{"owner lost", "", unknown, toucanpb.Code_CODE_DOWN, false},
+		{"overload", "", notrun, toucanpb.Code_CODE_OVERLOAD, false},
+		{"failed", "", unknown, toucanpb.Code_CODE_FAILED, false},
+	} {
+		w := &world{run: func(_ context.Context, a string, leg *toucanpb.Leg) (*toucanpb.LegResult, error) {
+			if a == "costa-1" {
+				return &toucanpb.LegResult{Shard: leg.Shard, Outcome: k.outcome, Code: k.code}, nil
+			}
+			return done(leg), nil
+		}}
+		_, err := start(w, 16, "costa", "oriente").Search(t.Context(), "r1", &toucanpb.Query{Service: "letters", Route: "pair", Key: k.key})
+		if k.moves {
+			require.NoError(t, err, k.name)
+			require.Equal(t, []string{"costa-1", "oriente-1"}, w.asked, k.name)
+		} else {
+			require.Equal(t, k.outcome, toucanfault.As(err).Outcome, k.name)
+			require.Equal(t, []string{"costa-1"}, w.asked, k.name)
+		}
+	}
+}
+
 // Guards against a request without an outcome at its deadline being reported as
 // "not run", and against a key that reaches another shard on its repeat.
 func TestOnceUnknownAtDeadlineAndSameShard(t *testing.T) {
