--- a/integration/load_test.go
+++ b/integration/load_test.go
@@ -59,6 +59,9 @@
 			case <-timer.C:
 			}
 			h, q := next(random)
+			if h == nil {
+				continue // no host may be asked now
+			}
 			// Requests in progress end by themselves after the load is stopped.
 			calls.Go(func() { l.add(ask(b.ctx, l.client, h, q)) })
 		}
--- /dev/null
+++ b/integration/stop_test.go
@@ -0,0 +1,282 @@
+package integration
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"toucanstair.example/core/toucandeploy"
+	"toucanstair.example/core/toucanpb"
+	"toucanstair.example/core/toucanspec"
+)
+
+const (
+	// balancerLag is the time from a failed readiness check until callers send
+	// a host no new queries; it is below the default of --linger, 2 s.
+	balancerLag = time.Second
+	// balancerPause is the interval between readiness checks of a host.
+	balancerPause = 100 * time.Millisecond
+	balancerLimit = time.Second
+	stopRate      = 60 // requests a second
+)
+
+// balancer follows the readiness of hosts as a load balancer does.
+type balancer struct {
+	client *http.Client
+
+	mu      sync.Mutex
+	failing map[string]time.Time // since when the checks of a host fail, by name
+}
+
+// balance starts the checks of all hosts, which end with the test.
+func (b *bed) balance() *balancer {
+	l := &balancer{client: &http.Client{Timeout: balancerLimit}, failing: map[string]time.Time{}}
+	ended := make(chan struct{})
+	var checks sync.WaitGroup
+	for _, h := range b.Hosts {
+		checks.Go(func() {
+			for b.pauseUntil(ended, balancerPause) {
+				_, err := toucandeploy.Get(b.ctx, l.client, h.Ops, "/ready")
+				l.note(h.Name, err == nil)
+			}
+		})
+	}
+	b.t.Cleanup(func() {
+		close(ended)
+		checks.Wait()
+		l.client.CloseIdleConnections()
+	})
+	return l
+}
+
+// pauseUntil waits and reports whether neither the test nor ended has ended.
+func (b *bed) pauseUntil(ended <-chan struct{}, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-b.ctx.Done():
+		return false
+	case <-ended:
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func (l *balancer) note(host string, ready bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if ready {
+		delete(l.failing, host)
+	} else if l.failing[host].IsZero() {
+		l.failing[host] = time.Now()
+	}
+}
+
+// open returns the hosts that callers send new queries to.
+func (l *balancer) open(hosts []*toucandeploy.Host) []*toucandeploy.Host {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []*toucandeploy.Host
+	for _, h := range hosts {
+		if since := l.failing[h.Name]; since.IsZero() || time.Since(since) < balancerLag {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// steady returns a generator of requests that a host must answer in full, to
+// the hosts that choose returns; none are sent while it returns none. One in
+// eight is not idempotent, so that a lost leg of it can't be repeated; with
+// keyed set these have a key, which needs the store.
+func (b *bed) steady(choose func() []*toucandeploy.Host, keyed bool) func(*rand.Rand) (*toucandeploy.Host, *toucanpb.Query) {
+	serial := 0
+	return func(r *rand.Rand) (*toucandeploy.Host, *toucanpb.Query) {
+		hosts := choose()
+		if len(hosts) == 0 {
+			return nil, nil
+		}
+		s := b.Plan.Services[r.IntN(len(b.Plan.Services))]
+		q := &toucanpb.Query{Service: string(s.Name), Route: s.Routes[0].Name, Query: words, Limit: allItems, Timeout: "2s"}
+		if serial++; r.IntN(8) == 0 {
+			q = &toucanpb.Query{Service: string(s.Name), Route: s.Routes[1].Name, Query: words, Limit: 1, Timeout: "2s"}
+			if keyed {
+				q.Key = fmt.Sprintf("steady-%d", serial)
+			}
+		}
+		return hosts[r.IntN(len(hosts))], q
+	}
+}
+
+// requireWhole requires a full answer to every request.
+func (b *bed) requireWhole(known truth, all []request) {
+	b.t.Helper()
+	b.t.Logf("ends %v", tally(all))
+	faults := 0
+	for _, r := range all {
+		c := r.Answer.GetCoverage()
+		if r.Err != nil || c.GetAnswered() < c.GetAsked() {
+			faults++
+			b.t.Errorf("%s %s/%s at %s took %v: %v %v", r.Host.Name, r.Query.GetService(), r.Query.GetRoute(),
+				r.Began.Format(time.StampMilli), r.Ended.Sub(r.Began), c.GetMissing(), r.Err)
+		}
+	}
+	require.Zero(b.t, faults, "requests of %d that a planned stop cut", len(all))
+	b.checkAnswers(known, all)
+}
+
+// stopped waits for the end of a host that got SIGTERM and requires that it
+// ended by itself and interrupted nothing.
+func (b *bed) stopped(h *toucandeploy.Host) {
+	b.t.Helper()
+	code, err := h.Process.Wait(b.ctx)
+	require.NoError(b.t, err)
+	log := h.Process.Stderr()
+	require.Zero(b.t, code, "exit code of %s:\n%s", h.Name, tail(log, 3000))
+	require.NotContains(b.t, log, "shutdown interrupted", h.Name)
+	require.NotContains(b.t, log, "shutdown step failed", h.Name)
+	require.Contains(b.t, log, `"phase":"stopped"`, h.Name)
+}
+
+// untilReady waits until a host says that it is ready.
+func (b *bed) untilReady(h *toucandeploy.Host) {
+	b.t.Helper()
+	b.eventually(h.Name+" ready", func() bool {
+		_, err := b.Get(b.ctx, h.Ops, "/ready")
+		return err == nil
+	})
+}
+
+// Guards against an upgrade that costs requests: all hosts are restarted one
+// after the other, as the operators' page says, under load by callers that
+// follow readiness. Every host is stopped while the others use its slots.
+func TestPromise10RestartOfAllHosts(t *testing.T) {
+	b := newBed(t)
+	b.Plan.Args = nil // the default of --linger
+	known := b.learn(words)
+	b.startCovered()
+	balancer := b.balance()
+	l := b.drive(stopRate, b.steady(func() []*toucandeploy.Host { return balancer.open(b.Hosts) }, true))
+	order := append([]*toucandeploy.Host(nil), b.Hosts...)
+	b.random.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
+	for _, h := range order {
+		b.signal(h, syscall.SIGTERM)
+		b.stopped(h)
+		b.restart(h)
+		b.untilReady(h)
+	}
+	require.True(t, b.pause(time.Second))
+	all := l.finish()
+	b.requireWhole(known, all)
+	used := map[string]int{}
+	for _, r := range all {
+		used[r.Host.Name]++
+	}
+	require.Len(t, used, len(b.Hosts), "every host must have had queries: %v", used)
+	b.stopHosts()
+	ledger := b.ledger()
+	b.checkOnce(all, ledger)
+	b.checkTargets(ledger)
+}
+
+// Guards against legs that are cut at an owner of slots that stops: callers use
+// the other hosts only, so all that the host runs is for peers. Its linger is
+// short, and the host is started and stopped again.
+func TestPromise10StopOfOwner(t *testing.T) {
+	b := newBed(t)
+	known := b.learn(words)
+	b.startCovered()
+	owner := b.Hosts[b.random.IntN(len(b.Hosts))]
+	var others []*toucandeploy.Host
+	for _, h := range b.Hosts {
+		if h != owner {
+			others = append(others, h)
+		}
+	}
+	l := b.drive(2*stopRate, b.steady(func() []*toucandeploy.Host { return others }, true))
+	for range 2 {
+		require.True(t, b.pause(time.Second))
+		b.signal(owner, syscall.SIGTERM)
+		b.stopped(owner)
+		require.True(t, b.pause(time.Second))
+		b.restart(owner)
+		b.untilReady(owner)
+	}
+	require.True(t, b.pause(time.Second))
+	all := l.finish()
+	b.requireWhole(known, all)
+	b.stopHosts()
+	b.checkOnce(all, b.ledger())
+}
+
+// Guards against a stop that waits for the store, or that is cut short by it:
+// the store hangs while one host is stopped, so that the host can't leave the
+// zone view, and after that another in another zone while it refuses.
+func TestPromise10StopWithoutStore(t *testing.T) {
+	b := newBed(t)
+	b.Plan.Args = nil // the default of --linger
+	known := b.learn(words)
+	b.startCovered()
+	balancer := b.balance()
+	l := b.drive(stopRate, b.steady(func() []*toucandeploy.Host { return balancer.open(b.Hosts) }, false))
+	zones := b.random.Perm(len(b.Plan.Zones))
+	var down []*toucandeploy.Host
+	for i, fault := range []string{"hang", "refuse"} {
+		b.storeFault(map[string]any{"down": fault})
+		h := b.hostsOf(b.Plan.Zones[zones[i]].Name)[b.random.IntN(b.Plan.Hosts)]
+		b.signal(h, syscall.SIGTERM)
+		b.stopped(h)
+		require.True(t, b.pause(time.Second))
+		down = append(down, h)
+	}
+	b.storeFault(map[string]any{})
+	for _, h := range down {
+		b.restart(h)
+	}
+	for _, h := range down {
+		b.untilReady(h)
+	}
+	b.requireWhole(known, l.finish())
+}
+
+// Guards against hosts that stop at once and cut each other's legs: all get
+// SIGTERM together while targets are slow, so that queries of the last second
+// before callers turn away still run when the first host refuses new ones.
+func TestPromise10StopOfAllHostsAtOnce(t *testing.T) {
+	b := newBed(t)
+	b.Plan.Args = nil // the default of --linger
+	for i := range b.Plan.Services {
+		b.Plan.Services[i].Behaviour.Work.Median = toucanspec.Duration(150 * time.Millisecond)
+	}
+	known := b.learn(words)
+	b.startCovered()
+	balancer := b.balance()
+	const rate = 6 // of 13 that the slow targets can bear
+	l := b.drive(rate, b.steady(func() []*toucandeploy.Host { return balancer.open(b.Hosts) }, true))
+	require.True(t, b.pause(3*time.Second))
+	told := time.Now()
+	for _, h := range b.Hosts {
+		b.signal(h, syscall.SIGTERM)
+	}
+	for _, h := range b.Hosts {
+		b.stopped(h)
+	}
+	all := l.finish()
+	late := 0
+	for _, r := range all {
+		if r.Began.After(told) {
+			late++
+		}
+	}
+	t.Logf("%d requests began after SIGTERM", late)
+	require.Positive(t, late, "the test must see requests after SIGTERM")
+	b.requireWhole(known, all)
+	b.checkOnce(all, b.ledger())
+}
