Ask the seeds of a first configuration before it is in effect

When reads of the store were outdated, it put an old revision into effect and served under it until a heartbeat told it of the newest one.

Ruled out: a keeper that lowers its revision.

--- a/toucanstair/toucanconfig/keeper.go
+++ b/toucanstair/toucanconfig/keeper.go
@@ -264,14 +264,10 @@
 // put validates a configuration and puts it into effect; a bad one is refused
 // whole. Only Run calls it, so the revision cannot rise between check and use.
 func (k *Keeper) put(head *toucanpb.Head, blobs map[string][]byte, source string) bool {
-	files := make(map[string][]byte, len(head.GetFiles()))
-	for _, f := range head.GetFiles() {
-		files[f.GetName()] = blobs[f.GetSum()]
-	}
 	k.mu.RLock()
 	prior := k.now.folder
 	k.mu.RUnlock()
-	folder := toucanfolder.New(files, prior)
+	folder := toucanfolder.New(filesOf(head, blobs), prior)
 	rules, err := folder.Rules(head.GetRevision())
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -290,6 +286,15 @@
 	return true
 }
 
+// filesOf returns the files of head by name.
+func filesOf(head *toucanpb.Head, blobs map[string][]byte) map[string][]byte {
+	files := make(map[string][]byte, len(head.GetFiles()))
+	for _, f := range head.GetFiles() {
+		files[f.GetName()] = blobs[f.GetSum()]
+	}
+	return files
+}
+
 // held returns the blobs of head that are in memory and the sums of the rest.
 func (k *Keeper) held(head *toucanpb.Head) (map[string][]byte, []string) {
 	k.mu.RLock()
--- a/toucanstair/toucanconfig/keeper_test.go
+++ b/toucanstair/toucanconfig/keeper_test.go
@@ -1,6 +1,7 @@
 package toucanconfig_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -88,7 +89,7 @@
 	defer w.mu.Unlock()
 	reply := &toucanpb.FetchReply{}
 	if r.GetHead() {
-		reply.Head = w.peers[from.GetId()]
+		reply.Head = w.peers[cmp.Or(from.GetId(), from.GetAddress())]
 	}
 	for _, s := range r.GetSums() {
 		reply.Blobs = append(reply.Blobs, &toucanpb.Blob{Sum: s, Data: w.blobs[s]})
@@ -234,6 +235,35 @@
 	})
 }
 
+// Guards against a fresh host without seeds of its own that puts an old
+// revision of the store into effect, or that stays without a configuration
+// when the seeds in it don't answer.
+func TestFreshKeeperAsksSeedsOfStore(t *testing.T) {
+	for _, k := range []struct {
+		name   string
+		peer   uint64 // revision of the seed host; 0 is none
+		effect uint64
+	}{{"newer", 9, 9}, {"silent", 0, 3}, {"older", 2, 3}, {"same", 3, 3}} {
+		w := newWorld()
+		text := strings.Replace(rulesText, "name: sierra}", `name: sierra, seeds: ["10.1.1.2:70"]}`, 1)
+		w.store = w.head(3, "c", text)
+		if k.peer != 0 {
+			w.peers["10.1.1.2:70"] = w.head(k.peer, "c", text+fmt.Sprintf("# %d\n", k.peer))
+		}
+		if k.peer == 3 {
+			w.peers["10.1.1.2:70"] = w.store
+		}
+		core, logs := observer.New(zap.InfoLevel)
+		keeper := &toucanconfig.Keeper{Store: w, Pull: w.pull, Log: zap.New(core)}
+		bubble(t, w, keeper, func(t *testing.T) {
+			require.Equal(t, k.effect, keeper.Catalog().Revision(), k.name)
+			require.Len(t, logs.FilterMessage("configuration in effect").All(), 1, k.name)
+			later(time.Hour)
+			require.Equal(t, k.effect, keeper.Catalog().Revision(), k.name)
+		})
+	}
+}
+
 // Guards against a lost watch event that is never made up for, reads without
 // backoff while the store is down, and a wrong age.
 func TestLostEventAndStoreOutage(t *testing.T) {
--- a/toucanstair/toucanconfig/run.go
+++ b/toucanstair/toucanconfig/run.go
@@ -77,19 +77,52 @@
 	}
 }
 
+// found is a head and the peer that has it; nil stands for the store.
+type found struct {
+	head *toucanpb.Head
+	from *toucanpb.Member
+}
+
 // start asks the store and peers for their heads and loads the highest that
 // is sound, so that a store with an old head does not put that into effect.
 func (k *Keeper) start(ctx context.Context) {
-	type found struct {
-		head *toucanpb.Head
-		from *toucanpb.Member
-	}
 	var peers []*toucanpb.Member
-	if k.Peers != nil && k.Pull != nil {
+	if k.Peers != nil {
 		peers = k.Peers()
-		peers = peers[:min(len(peers), maxAsked)]
 	}
-	all := make([]found, len(peers)+1)
+	stored := make(chan found, 1)
+	go func() {
+		h, err := k.readHead(ctx)
+		if err != nil {
+			h = nil
+		}
+		stored <- found{head: h}
+	}()
+	all := append(k.pullHeads(ctx, peers), <-stored)
+	// The sort is stable, so that among equals a peer's blobs save store reads.
+	slices.SortStableFunc(all, byRevision)
+	for _, f := range all {
+		switch {
+		case f.head == nil:
+		case f.from != nil:
+			k.loadFrom(ctx, f.from, f.head)
+		default:
+			k.load(ctx, f.head)
+		}
+	}
+}
+
+// byRevision puts the highest revision first.
+func byRevision(a, b found) int { return cmp.Compare(b.head.GetRevision(), a.head.GetRevision()) }
+
+// pullHeads asks peers for their heads at once. The result has those that
+// answered with a sound one, in the order of the peers.
+func (k *Keeper) pullHeads(ctx context.Context, peers []*toucanpb.Member) []found {
+	if k.Pull == nil {
+		return nil
+	}
+	peers = peers[:min(len(peers), maxAsked)]
+	all := make([]found, len(peers))
 	var wg sync.WaitGroup
 	for i, p := range peers {
 		wg.Go(func() {
@@ -98,25 +131,33 @@
 			}
 		})
 	}
-	wg.Go(func() {
-		if h, err := k.readHead(ctx); err == nil {
-			all[len(peers)] = found{head: h}
-		}
-	})
 	wg.Wait()
-	// The sort is stable, so that among equals a peer's blobs save store reads.
-	slices.SortStableFunc(all, func(a, b found) int {
-		return cmp.Compare(b.head.GetRevision(), a.head.GetRevision())
-	})
+	return slices.DeleteFunc(all, func(f found) bool { return f.head == nil })
+}
+
+// startNewer asks seed hosts that a first configuration of the store names,
+// and reports whether a newer one of theirs is in effect. A host that was
+// started without seeds knows no other peers, and the store may be outdated.
+func (k *Keeper) startNewer(ctx context.Context, head *toucanpb.Head, blobs map[string][]byte) bool {
+	rules, err := toucanfolder.New(filesOf(head, blobs), nil).Rules(head.GetRevision())
+	if err != nil {
+		return false // put refuses it
+	}
+	var seeds []*toucanpb.Member
+	for _, z := range rules.GetZones() {
+		for _, address := range z.GetSeeds() {
+			seeds = append(seeds, &toucanpb.Member{Address: address})
+		}
+	}
+	rand.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
+	all := k.pullHeads(ctx, seeds)
+	slices.SortStableFunc(all, byRevision)
 	for _, f := range all {
-		switch {
-		case f.head == nil:
-		case f.from != nil:
-			k.loadFrom(ctx, f.from, f.head)
-		default:
-			k.load(ctx, f.head)
+		if f.head.GetRevision() > head.GetRevision() && k.loadFrom(ctx, f.from, f.head) {
+			return true
 		}
 	}
+	return false
 }
 
 // reread reads the head when this host watches or has no configuration, and
@@ -266,6 +307,9 @@
 		}
 		blobs[sum] = data
 	}
+	if k.Catalog() == nil && k.startNewer(ctx, head, blobs) {
+		return true
+	}
 	k.put(head, blobs, fromStore)
 	return true
 }
