Do not end draining by a health endpoint that misleads

Cause: the health endpoint and the responses of a target set the same state, so that a draining target, which gets no requests and is therefore polled, was open again as soon as a lagging or misleading health endpoint said ready; an owner that does not lead took over the leader's open count in the same way. Ruled out: late openings of an earlier leader, as no view changed. Change: draining that a response told ends by a response, a new boot id, or health that said draining itself before. An owner that does not lead tells the leader, until the leader repeats it.

--- a/toucanstair/toucancell/poll.go
+++ b/toucanstair/toucancell/poll.go
@@ -95,5 +95,5 @@
 		c.log().Debug("health not read", zap.String("replica", string(id)), zap.Error(err))
 		return
 	}
-	c.learn(id, reply)
+	c.learn(id, reply, c.Table.NoteHealth)
 }
--- a/toucanstair/toucancell/serve.go
+++ b/toucanstair/toucancell/serve.go
@@ -142,7 +142,7 @@
 
 // note takes in what a response said of its replica.
 func (c *Cell) note(id toucanreplica.ID, service *toucanpb.Service, replica *toucanpb.Replica, leg *toucanpb.Leg, reply toucanexchange.Reply, f *toucanfault.Error) {
-	c.learn(id, reply)
+	c.learn(id, reply, c.Table.Note)
 	var code toucanpb.Code
 	if f != nil {
 		code = f.Code
@@ -161,12 +161,12 @@
 	c.Judge.Observe(toucanservice.Name(service.GetName()), replica.GetVersion(), leg.GetRoute(), code, reply.Took)
 }
 
-func (c *Cell) learn(id toucanreplica.ID, reply toucanexchange.Reply) {
+func (c *Cell) learn(id toucanreplica.ID, reply toucanexchange.Reply, note func(r toucanreplica.ID, boot, state string)) {
 	if reply.Boot == "" && reply.State == "" && reply.Versions == nil {
 		return
 	}
 	c.answered.Store(id, time.Now())
-	c.Table.Note(id, reply.Boot, reply.State)
+	note(id, reply.Boot, reply.State)
 	if c.Inventory != nil && reply.Versions != nil && c.leads(id) {
 		c.Inventory.Record(id, reply.Versions)
 	}
--- a/toucanstair/toucanslot/opening.go
+++ b/toucanstair/toucanslot/opening.go
@@ -80,20 +80,25 @@
 
 // Note takes in the boot id and the state that a response named; either may
 // be empty.
-func (t *Table) Note(r toucanreplica.ID, boot string, state string) {
+func (t *Table) Note(r toucanreplica.ID, boot string, state string) { t.note(r, boot, state, true) }
+
+// NoteHealth is Note for the health endpoint, which may lag or mislead. After a
+// response said draining, health ends that only for a new boot id, or when it
+// has said draining itself.
+func (t *Table) NoteHealth(r toucanreplica.ID, boot string, state string) {
+	t.note(r, boot, state, false)
+}
+
+func (t *Table) note(r toucanreplica.ID, boot string, state string, response bool) {
 	slots, _ := t.slots(r)
 	p := t.part(r)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	g := p.target(r)
+	restarted := boot != "" && g.boot != "" && boot != g.boot
 	if state != "" {
-		was := g.draining
-		g.draining = state == "draining"
-		if g.draining != was && t.owns(r, 0) {
-			t.tell(r, g, slots)
-		}
+		t.drain(r, g, slots, state == "draining", response, restarted)
 	}
-	restarted := boot != "" && g.boot != "" && boot != g.boot
 	if boot != "" {
 		g.boot = boot
 	}
@@ -103,6 +108,36 @@
 	t.pump(r, g, slots)
 }
 
+// drain takes in whether a target says that it is draining, and tells the
+// others concerned of a change.
+func (t *Table) drain(r toucanreplica.ID, g *target, slots int, draining, response, restarted bool) {
+	if !response && g.vouched && !restarted {
+		g.vouched = !draining
+		return
+	}
+	was := g.draining
+	g.draining, g.vouched = draining, draining && response
+	if !g.draining {
+		g.agreed = false
+	}
+	switch {
+	case g.draining == was:
+	case t.owns(r, 0):
+		t.tell(r, g, slots)
+	case g.vouched:
+		if m, ok := t.Owners.Owner(r, 0); ok {
+			t.announce(m, []*toucanpb.Opening{t.drainSign(r, g)})
+		}
+	}
+}
+
+// drainSign tells the leader that a response to this host said draining.
+func (t *Table) drainSign(r toucanreplica.ID, g *target) *toucanpb.Opening {
+	return &toucanpb.Opening{
+		Replica: string(r), Boot: g.boot, Sequence: t.sequence.Add(1), Source: t.Owners.Self().GetId(), Cold: true,
+	}
+}
+
 // judge takes in the end of a request through a slot of this host.
 func (t *Table) judge(r toucanreplica.ID, g *target, slots int, ok bool, took time.Duration) {
 	if !ok {
@@ -210,9 +245,13 @@
 				continue
 			}
 			if !t.owns(r, 0) {
-				if m, ok := t.Owners.Owner(r, 0); ok && g.cold != nil {
+				m, ok := t.Owners.Owner(r, 0)
+				if ok && g.cold != nil {
 					out[m.GetId()] = append(out[m.GetId()], addressed{g.cold, m})
 				}
+				if ok && g.vouched && !g.agreed {
+					out[m.GetId()] = append(out[m.GetId()], addressed{t.drainSign(r, g), m})
+				}
 				continue
 			}
 			for s := 1; s < slots; s++ {
@@ -258,15 +297,20 @@
 	}
 }
 
-// warned is the leader's reaction to an owner's cold sign. A repeated sign is
+// warned is the leader's reaction to an owner's sign of a cold target, or of a
+// draining one when the open count is 0. A repeated sign is
 // answered but closes nothing again.
 func (t *Table) warned(r toucanreplica.ID, g *target, slots int, o *toucanpb.Opening) {
 	if o.GetSource() != g.source || o.GetSequence() > g.sequence {
 		g.source, g.sequence = o.GetSource(), o.GetSequence()
-		g.open, g.good = 1, 0
 		if o.GetBoot() != "" {
 			g.boot = o.GetBoot()
 		}
+		if o.GetOpen() == 0 {
+			g.draining, g.vouched = true, true
+		} else {
+			g.open, g.good = 1, 0
+		}
 	}
 	t.tell(r, g, slots)
 }
@@ -276,7 +320,12 @@
 	if o.GetSource() == g.source && o.GetSequence() <= g.sequence {
 		return
 	}
-	g.draining = o.GetOpen() == 0
+	switch {
+	case o.GetOpen() == 0:
+		g.draining, g.vouched, g.agreed = true, true, true
+	case !g.vouched || g.agreed || o.GetBoot() != g.boot:
+		g.draining, g.vouched, g.agreed = false, false, false
+	}
 	open := int(min(max(1, o.GetOpen()), uint32(slots)))
 	agreed := g.boot == "" || o.GetBoot() == g.boot
 	switch {
--- a/toucanstair/toucanslot/table.go
+++ b/toucanstair/toucanslot/table.go
@@ -102,6 +102,8 @@
 	sequence uint64
 	cold     *toucanpb.Opening // sign of a cold target that the leader has not confirmed
 	draining bool
+	vouched  bool   // a response said draining, or the leader did
+	agreed   bool   // the leader knows that the target is draining
 	busy     uint64 // bit i: slot i has a request
 	waiting  []*waiter
 }
--- a/toucanstair/toucanslot/table_test.go
+++ b/toucanstair/toucanslot/table_test.go
@@ -205,6 +205,34 @@
 	})
 }
 
+// Guards against a draining target that gets work again because its health
+// endpoint says ready, or because only an owner that does not lead saw it.
+func TestHealthDoesNotEndDraining(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, ts := tables(3)
+		warm(ts, t, 16)
+		ts[0].Note(replica, "a", "ready")
+		ts[2].Note(replica, "a", "draining")
+		<-time.After(4 * announceTime)
+		for range 3 {
+			ts[0].NoteHealth(replica, "a", "ready")
+			<-time.After(2 * announceTime)
+			for _, table := range ts {
+				require.True(t, table.Draining(replica))
+			}
+		}
+		ts[0].NoteHealth(replica, "a", "draining")
+		ts[0].NoteHealth(replica, "a", "ready")
+		<-time.After(2 * announceTime)
+		for _, table := range ts {
+			require.False(t, table.Draining(replica), "health has caught up")
+		}
+		ts[0].Note(replica, "a", "draining")
+		ts[0].NoteHealth(replica, "b", "ready")
+		require.False(t, ts[0].Draining(replica), "the target restarted")
+	})
+}
+
 // Guards against a leg that is reported as not run and later gets a permit,
 // an unbounded queue, and waiting that loses the order.
 func TestQueueIsBoundedAndOrdered(t *testing.T) {
