Run legs of draining replicas in the next zone

Cause: a leg that found only draining replicas in the first zone was reported as refused, and refusals do not move to another zone. With two replicas of a shard in two zones, the usual placement, the shard was missing for every host that asks the zone of the draining one first. Ruled out: the budget, which such a leg does not need, as it was not sent. Change: the cell says that the refusal is due to draining, and the coordinator then asks the next zone. Refusals by overload stay where they are.

--- a/toucanstair/toucancell/cell.go
+++ b/toucanstair/toucancell/cell.go
@@ -143,7 +143,7 @@
 	defer cancel() // also cancels the attempts that lost
 	legs.Inc()
 	if !r.launch(ctx, leg.GetExtra()) {
-		return refusal(leg, r.none())
+		return r.none()
 	}
 	if !leg.GetExtra() && len(r.candidates) > 1 {
 		// Legs that this cell cannot hedge are in the coordinator's budget.
@@ -193,11 +193,13 @@
 }
 
 // none returns why no replica may serve the leg.
-func (r *run) none() *toucanfault.Error {
+func (r *run) none() *toucanpb.LegResult {
 	if r.cell.Router.Choose(r.candidates, toucanroute.Want{}) == nil {
-		return toucanfault.NotRun(toucanpb.Code_CODE_REFUSED, "every replica of the shard is draining")
+		res := refusal(r.leg, toucanfault.NotRun(toucanpb.Code_CODE_REFUSED, "every replica of the shard is draining"))
+		res.Draining = true
+		return res
 	}
-	return toucanfault.NotRun(toucanpb.Code_CODE_VERSION, "no replica of the shard serves the index version")
+	return refusal(r.leg, toucanfault.NotRun(toucanpb.Code_CODE_VERSION, "no replica of the shard serves the index version"))
 }
 
 func (r *run) next(extra bool) *toucanpb.Replica {
--- a/toucanstair/toucanquery/hedge_test.go
+++ b/toucanstair/toucanquery/hedge_test.go
@@ -39,6 +39,29 @@
 	})
 }
 
+// Guards against shards that are missing while their replicas in one zone drain
+// although another zone has one, and against refusals for other reasons that
+// move the load of one zone to the next.
+func TestLegOfDrainingReplicaMovesToNextZone(t *testing.T) {
+	for draining, answered := range map[bool]uint32{true: 1, false: 0} {
+		synctest.Test(t, func(t *testing.T) {
+			w := &world{}
+			w.run = func(_ context.Context, address string, leg *toucanpb.Leg) (*toucanpb.LegResult, error) {
+				if address == "" {
+					return &toucanpb.LegResult{
+						Shard: leg.Shard, Index: leg.Index, Outcome: toucanpb.Outcome_OUTCOME_NOTRUN,
+						Code: toucanpb.Code_CODE_REFUSED, Draining: draining,
+					}, nil
+				}
+				return done(leg), nil
+			}
+			a, err := start(w, 1, "sierra", "costa").Search(t.Context(), "r", find("1s"))
+			require.NoError(t, err)
+			require.Equal(t, answered, a.Coverage.Answered)
+		})
+	}
+}
+
 // Guards against hedges and repeats beyond the budget when everything is slow.
 func TestHedgesInOtherZonesStayInBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/toucanstair/toucanquery/leg.go
+++ b/toucanstair/toucanquery/leg.go
@@ -127,6 +127,7 @@
 
 // moves reports whether a leg may be tried in another zone. Overload and
 // refusals by targets are not: they would move the load of one zone to the next.
+// A zone whose replicas of the shard are draining has no capacity to wait for.
 func moves(code toucanpb.Code, r *toucanpb.LegResult) bool {
 	if code == toucanpb.Code_CODE_CUT || code == toucanpb.Code_CODE_DOWN {
 		return true
@@ -135,6 +136,8 @@
 		return false
 	}
 	switch code {
+	case toucanpb.Code_CODE_REFUSED:
+		return r.GetDraining()
 	case toucanpb.Code_CODE_OUT, toucanpb.Code_CODE_LEASE, toucanpb.Code_CODE_STOPPING,
 		toucanpb.Code_CODE_VERSION:
 		return true
