--- a/toucanstair/toucansnapshot/plan.go
+++ b/toucanstair/toucansnapshot/plan.go
@@ -55,7 +55,7 @@
 		own = zonePrefix + self.GetZone()
 	}
 	held := holdings(s, c)
-	for _, u := range i.usable(s, now, func(k key, e *entry) bool {
+	for _, u := range usable(s, i.of(s), now, func(k key, e *entry) bool {
 		// The own zone's summary repeats the entries of its hosts.
 		return k.source != own && !c.Out(e.zone)
 	}) {
@@ -115,20 +115,31 @@
 	return best
 }
 
-// usable returns the entries of a service that count among those selected: the
-// ones heard from lately, and of the others the shards on which nothing newer
-// is known, so that a host that is cut off keeps its last knowledge.
-func (i *Inventory) usable(s *toucanpb.Service, now time.Time, selected func(key, *entry) bool) []usage {
+// of returns the entries of a service.
+func (i *Inventory) of(s *toucanpb.Service) []held {
+	var out []held
+	for k, e := range i.entries {
+		if k.service == s.GetName() {
+			out = append(out, held{k, e})
+		}
+	}
+	return out
+}
+
+// usable returns those of a service's entries that count among the selected:
+// the ones heard from lately, and of the others the shards on which nothing
+// newer is known, so that a host that is cut off keeps its last knowledge.
+func usable(s *toucanpb.Service, entries []held, now time.Time, selected func(key, *entry) bool) []usage {
 	var out, old []usage
 	known := newBitmap(s.GetShards())
-	for k, e := range i.entries {
-		if k.service != s.GetName() || len(e.shards) == 0 || !selected(k, e) {
+	for _, h := range entries {
+		if len(h.shards) == 0 || !selected(h.key, h.entry) {
 			continue
 		}
-		u := usage{k.index, e.zone, e.shards}
-		if now.Sub(e.heard) < fresh {
+		u := usage{h.index, h.zone, h.shards}
+		if now.Sub(h.heard()) < fresh {
 			out = append(out, u)
-			known.merge(e.shards)
+			known.merge(h.shards)
 		} else {
 			old = append(old, u)
 		}
