Offer openings, contacts and the revision on fewer heartbeats

Changes of openings are announced at once, and a peer that has the revision is told of it again after 4 s. Zones pull each other's entries by digest when they have more than a few hosts.

--- a/toucanstair/toucanconfig/keeper.go
+++ b/toucanstair/toucanconfig/keeper.go
@@ -32,6 +32,12 @@
 	fetchSums  = 32
 	fetchBytes = 2 << 20
 
+	// confirmEvery is how often a peer that has the revision is told of it, by
+	// which it confirms its own.
+	confirmEvery = 4 * time.Second
+	// maxAgreed bounds the peers of which the revision is held.
+	maxAgreed = 1024
+
 	fromStore = "store"
 )
 
@@ -62,9 +68,16 @@
 	refusal   *Refusal
 	refused   []*toucanpb.Digest
 	claims    map[string]claim
+	agreed    map[string]offer // by member id
 	wake      chan struct{}
 }
 
+// offer is a revision that a peer showed, and when it was last offered to it.
+type offer struct {
+	revision uint64
+	at       time.Time
+}
+
 // effect is a revision in effect; before holds the blobs of the revision it
 // replaced, for peers that are still fetching that.
 type effect struct {
@@ -117,15 +130,34 @@
 	return s
 }
 
-// Offer adds the digest of the revision in effect to a heartbeat.
-func (k *Keeper) Offer(_ *toucanpb.Member, g *toucanpb.Gossip) {
-	k.mu.RLock()
-	defer k.mu.RUnlock()
-	if k.now.head != nil {
-		g.Digest = &toucanpb.Digest{Revision: k.now.head.GetRevision(), Sum: k.now.sum}
+// Offer adds the digest of the revision in effect to a heartbeat. A peer that
+// showed the same one lately gets it again after some seconds only.
+func (k *Keeper) Offer(to *toucanpb.Member, g *toucanpb.Gossip) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.now.head == nil {
+		return
+	}
+	now := time.Now()
+	o := offer{k.now.head.GetRevision(), now}
+	if last, ok := k.agreed[to.GetId()]; ok && last.revision == o.revision && now.Sub(last.at) < confirmEvery {
+		return
+	}
+	g.Digest = &toucanpb.Digest{Revision: o.revision, Sum: k.now.sum}
+	if last, ok := k.agreed[to.GetId()]; ok && last.revision == o.revision {
+		k.agreed[to.GetId()] = o
 	}
 }
 
+// agree notes that a peer showed the revision in effect, so that it need not be
+// offered again for a while.
+func (k *Keeper) agree(id string) {
+	if k.agreed == nil || len(k.agreed) >= maxAgreed {
+		k.agreed = make(map[string]offer)
+	}
+	k.agreed[id] = offer{k.now.head.GetRevision(), time.Now()}
+}
+
 // Accept takes in the digest of a heartbeat.
 func (k *Keeper) Accept(from *toucanpb.Member, g *toucanpb.Gossip) {
 	d := g.GetDigest()
@@ -139,6 +171,9 @@
 	case d.GetRevision() < held || k.isRefused(d):
 	case d.GetRevision() == held:
 		k.same(d.GetSum(), "peer "+from.GetId(), !watching)
+		if last, ok := k.agreed[from.GetId()]; bytes.Equal(d.GetSum(), k.now.sum) && (!ok || last.revision != held) {
+			k.agree(from.GetId())
+		}
 	default:
 		k.claim(from, d)
 	}
--- a/toucanstair/toucanmember/contact.go
+++ b/toucanstair/toucanmember/contact.go
@@ -69,14 +69,14 @@
 	delete(in, all[len(all)-1].GetName())
 }
 
-// offeredContacts returns one random contact; the receiver collects them over
-// many heartbeats.
+// offeredContacts returns one random contact or, with many zones, mostly none;
+// the receiver collects them over many heartbeats.
 func (m *Manager) offeredContacts(to *toucanpb.Member) []*toucanpb.Contact {
 	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	zones := m.zones()
-	if len(zones) == 0 {
+	if len(zones) == 0 || len(zones) > manyZones && m.rnd.IntN(contactShare) > 0 {
 		return nil
 	}
 	z := zones[m.rnd.IntN(len(zones))]
--- a/toucanstair/toucanmember/settings.go
+++ b/toucanstair/toucanmember/settings.go
@@ -73,6 +73,8 @@
 	contactEvery = time.Second      // one other zone each time
 	witnessLimit = 10 * time.Second // silence after which a witness is replaced
 	maxContacts  = 8                // kept for each other zone
+	manyZones    = 8                // above which contacts travel on 1 of contactShare heartbeats
+	contactShare = 8                // a contact for each of 37 zones arrives every 15 s at 20 heartbeats a second
 	awaitedLimit = 16               // members asked for their release in one round
 	retryFirst   = time.Second      // between attempts to remove a member
 	retryLast    = 4 * time.Second
--- a/toucanstair/toucanslot/opening.go
+++ b/toucanstair/toucanslot/opening.go
@@ -182,13 +182,17 @@
 }
 
 // Offer adds to a heartbeat the open counts and cold signs that concern the
-// receiver.
+// receiver, unless it was sent them lately; changes are announced at once.
 func (t *Table) Offer(to *toucanpb.Member, g *toucanpb.Gossip) {
 	if to.GetId() == "" {
 		return
 	}
-	t.offered.Store(to.GetId(), time.Now())
-	for _, o := range t.concerning()[to.GetId()] {
+	now := time.Now()
+	if at, ok := t.offered.Load(to.GetId()); ok && now.Sub(at.(time.Time)) < offerEvery {
+		return
+	}
+	t.offered.Store(to.GetId(), now)
+	for _, o := range t.concerning(to.GetId())[to.GetId()] {
 		g.Openings = append(g.Openings, o.Opening)
 	}
 }
@@ -198,9 +202,11 @@
 	to *toucanpb.Member
 }
 
-// concerning returns what each other owner should know, by member id.
-func (t *Table) concerning() map[string][]addressed {
+// concerning returns what each other owner, or only one, should know, by member
+// id.
+func (t *Table) concerning(only string) map[string][]addressed {
 	out := make(map[string][]addressed)
+	wants := func(m *toucanpb.Member) bool { return only == "" || only == m.GetId() }
 	for i := range t.parts {
 		p := &t.parts[i]
 		p.mu.Lock()
@@ -210,13 +216,13 @@
 				continue
 			}
 			if !t.owns(r, 0) {
-				if m, ok := t.Owners.Owner(r, 0); ok && g.cold != nil {
+				if m, ok := t.Owners.Owner(r, 0); ok && g.cold != nil && wants(m) {
 					out[m.GetId()] = append(out[m.GetId()], addressed{g.cold, m})
 				}
 				continue
 			}
 			for s := 1; s < slots; s++ {
-				if m, ok := t.Owners.Owner(r, s); ok && !t.owns(r, s) {
+				if m, ok := t.Owners.Owner(r, s); ok && wants(m) && !t.owns(r, s) {
 					out[m.GetId()] = append(out[m.GetId()], addressed{t.opening(r, g), m})
 				}
 			}
@@ -326,7 +332,7 @@
 }
 
 func (t *Table) repeat() {
-	for id, list := range t.concerning() {
+	for id, list := range t.concerning("") {
 		if at, ok := t.offered.Load(id); ok && time.Since(at.(time.Time)) < retell {
 			continue
 		}
--- a/toucanstair/toucanslot/table.go
+++ b/toucanstair/toucanslot/table.go
@@ -28,6 +28,8 @@
 	// retell is how often the leader repeats the open count to an owner that it
 	// sends no heartbeats to; a third of the lease tolerates two lost messages.
 	retell = time.Second
+	// offerEvery is retell for heartbeats, less half of the time between two.
+	offerEvery = 750 * time.Millisecond
 )
 
 var (
--- a/toucanstair/toucansnapshot/gossip.go
+++ b/toucanstair/toucansnapshot/gossip.go
@@ -40,6 +40,10 @@
 	}
 	p.at = now
 	seldom := near && p.run < steadyRun && i.steadyPeers() >= enough
+	// A host that was heard without a digest does not pull, so it is sent all.
+	pulls := !near && i.farPeers(self.GetZone()) > enough
+	holds := pulls && !p.lacks && (p.told || !p.met)
+	p.zone = to.GetZone()
 	for _, name := range p.ask {
 		g.Served = append(g.Served, &toucanpb.Served{Source: name})
 	}
@@ -53,8 +57,11 @@
 	offers := func(name string, s *source) bool {
 		return near != (name == summary) && name != to.GetId() && now.Sub(s.heard) < fresh
 	}
+	if pulls {
+		i.offerDigest(zonePrefix+to.GetZone(), g)
+	}
 	for k, e := range i.entries {
-		if !offers(k.source, e.source) || p.sent[k] == e.sequence {
+		if !offers(k.source, e.source) || p.sent[k] == e.sequence || holds {
 			continue
 		}
 		p.sent[k] = e.sequence
@@ -64,6 +71,7 @@
 			Source: k.source, Sequence: e.sequence, Service: k.service, Index: k.index, Shards: e.shards,
 		})
 	}
+	p.lacks = false
 	for name, s := range i.sources {
 		if !offers(name, s) || s.sequence == 0 || p.stamps[name] >= s.sequence {
 			continue
@@ -73,6 +81,37 @@
 	}
 }
 
+// offerDigest tells a host of another zone what is known of its zone, so that
+// it answers with entries only when they differ. Pushing the zone's entries
+// instead would repeat them to each of the many hosts that a host meets once.
+func (i *Inventory) offerDigest(name string, g *toucanpb.Gossip) {
+	known := &toucanpb.Served{Source: name, Sequence: 1}
+	if s := i.sources[name]; s != nil {
+		known.Sequence, known.Index = max(1, s.sequence), uint64(i.digest(name))
+	}
+	g.Served = append(g.Served, known)
+}
+
+// compare notes whether a host of another zone lacks entries of this zone.
+func (i *Inventory) compare(p *peer, s *toucanpb.Served) {
+	p.told = true
+	if uint32(s.GetIndex()) == i.digest(s.GetSource()) {
+		return
+	}
+	i.resend(p, s.GetSource())
+}
+
+// farPeers returns the number of hosts of other zones met lately.
+func (i *Inventory) farPeers(own string) int {
+	n := 0
+	for _, p := range i.peers {
+		if p.zone != "" && p.zone != own {
+			n++
+		}
+	}
+	return n
+}
+
 // steadyPeers returns the number of hosts with which this one exchanges all.
 func (i *Inventory) steadyPeers() int {
 	n := 0
@@ -128,6 +167,7 @@
 		i.replace(from)
 	}
 	p := i.peer(from.GetId())
+	p.met, p.told = true, false
 	var stamps []*toucanpb.Served
 	for _, s := range g.GetServed() {
 		if s.GetSequence() == 0 {
@@ -139,6 +179,10 @@
 		if !isZone {
 			zone = toucanzone.Name(self.GetZone())
 		}
+		if !near && isZone && name == self.GetZone() && s.GetService() == "" {
+			i.compare(p, s)
+			continue
+		}
 		switch {
 		case s.GetSource() == self.GetId(), isZone && name == self.GetZone():
 			continue // this host speaks for these itself
@@ -178,6 +222,7 @@
 
 // resend makes the next heartbeats to a peer carry the entries of a source.
 func (i *Inventory) resend(p *peer, name string) {
+	p.lacks = true
 	for k := range p.sent {
 		if k.source == name {
 			delete(p.sent, k)
--- a/toucanstair/toucansnapshot/inventory.go
+++ b/toucanstair/toucansnapshot/inventory.go
@@ -41,7 +41,8 @@
 	// make a peer a steady one, because a pair of random ones is often close.
 	steadyRun = 4
 	// enough steady peers make a host leave the others out; each host has 4
-	// voters besides itself.
+	// voters besides itself. Above as many hosts of other zones, entries go to
+	// those that lack them only.
 	enough = 4
 	// recompute bounds the age of a selection and of the own entries, because
 	// entries expire without an event.
@@ -132,7 +133,11 @@
 
 type peer struct {
 	at     time.Time
-	run    int // heartbeats without a longer pause
+	zone   string
+	met    bool // was heard
+	told   bool // gave the digest of what it knows of this zone when last heard
+	lacks  bool // lacks entries
+	run    int  // heartbeats without a longer pause
 	sent   map[key]uint64
 	stamps map[string]uint64
 	wanted map[string]time.Time // sources of which an entry was missed, and when that was said last
