--- a/toucanstair/toucancommand/node.go
+++ b/toucanstair/toucancommand/node.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"go.uber.org/zap"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/encoding/gzip"
 
 	"toucanstair.example/core/toucanfault"
 	"toucanstair.example/core/toucanhost"
@@ -135,7 +137,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return c.Fetch(ctx, r)
+	// A head is half digests, and a file is text: 49 KB of one change become 11 KB.
+	return c.Fetch(ctx, r, grpc.UseCompressor(gzip.Name))
 }
 
 // Fetch serves the configuration and the zone view to peers.
--- a/toucanstair/toucanmember/beat.go
+++ b/toucanstair/toucanmember/beat.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"go.uber.org/zap"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/encoding/gzip" // the reply has the compression of the request
 
 	"toucanstair.example/core/toucanfault"
 	"toucanstair.example/core/toucanhost"
@@ -192,7 +194,7 @@
 	if err != nil {
 		return false
 	}
-	r, err := c.Fetch(ctx, &toucanpb.FetchRequest{View: true})
+	r, err := c.Fetch(ctx, &toucanpb.FetchRequest{View: true}, grpc.UseCompressor(gzip.Name))
 	if err != nil || r.GetView() == nil {
 		return false
 	}
--- a/toucanstair/toucanmember/contact.go
+++ b/toucanstair/toucanmember/contact.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"go.uber.org/zap"
-	"google.golang.org/protobuf/proto"
 
 	"toucanstair.example/core/toucanhost"
 	"toucanstair.example/core/toucanpb"
@@ -140,8 +139,11 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, e := range es {
-		z := &toucanpb.ZoneView{}
-		if !strings.HasSuffix(e.GetKey(), "/view") || proto.Unmarshal(e.GetValue(), z) != nil {
+		if !strings.HasSuffix(e.GetKey(), "/view") {
+			continue
+		}
+		z, err := decodeView(e.GetValue())
+		if err != nil {
 			continue
 		}
 		for _, o := range z.GetMembers() {
--- a/toucanstair/toucanmember/loop.go
+++ b/toucanstair/toucanmember/loop.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"go.uber.org/zap"
 
 	"toucanstair.example/core/toucanfault"
@@ -136,8 +134,8 @@
 	if err != nil {
 		return toucanview.View{}, 0, err
 	}
-	z := &toucanpb.ZoneView{} // stands for an absent key
-	if err := proto.Unmarshal(e.GetValue(), z); err != nil {
+	z, err := decodeView(e.GetValue()) // an absent key has no value
+	if err != nil {
 		return toucanview.View{}, 0, toucanfault.NotRun(toucanpb.Code_CODE_INVALID, "view of zone "+string(m.set.Zone)+" in the store").Because(err)
 	}
 	v := toucanview.Of(z)
@@ -154,7 +152,7 @@
 // write stores the view that follows the one at revision prev and makes it
 // current. A write whose result is lost is found by a later read.
 func (m *Manager) write(ctx context.Context, v toucanview.View, prev uint64) error {
-	value, err := proto.Marshal(v.Message())
+	value, err := encodeView(v.Message())
 	if err != nil {
 		return toucanfault.NotRun(toucanpb.Code_CODE_INTERNAL, "encoding the zone view").Because(err)
 	}
--- a/toucanstair/toucansnapshot/gossip.go
+++ b/toucanstair/toucansnapshot/gossip.go
@@ -167,6 +167,10 @@
 		i.replace(from)
 	}
 	p := i.peer(from.GetId())
+	if near && i.sources[from.GetId()] == nil {
+		// A host that has just joined needs all there is in the reply.
+		p.run, p.at = steadyRun, now
+	}
 	p.met, p.told = true, false
 	var stamps []*toucanpb.Served
 	for _, s := range g.GetServed() {
--- a/toucanstair/toucansnapshot/inventory_test.go
+++ b/toucanstair/toucansnapshot/inventory_test.go
@@ -217,6 +217,32 @@
 	})
 }
 
+// Guards against a host that joins a zone whose members exchange entries with
+// their steady peers only, and is told nothing at first.
+func TestNewHostIsToldAllAtOnce(t *testing.T) {
+	var members []*host
+	for n := range 12 {
+		members = append(members, start(fmt.Sprintf("m%d/1", n), "sierra"))
+	}
+	members[0].serve([]uint64{7}, "sierra0")
+	for range 12 {
+		for _, a := range members {
+			for _, b := range members[:6] {
+				if a != b {
+					beat(a, b)
+				}
+			}
+		}
+	}
+	joiner := start("x/1", "sierra")
+	beat(joiner, members[5])
+	beat(members[5], joiner)
+	requirePin(t, joiner, 7)
+	g := &toucanpb.Gossip{}
+	members[5].Offer(&toucanpb.Member{Id: "y/1", Zone: "sierra"}, g)
+	require.Empty(t, g.Served, "a host that was not heard is no steady peer")
+}
+
 // Guards against a dead source that hosts keep alive by telling each other, also
 // after the first of them has forgotten it.
 func TestRelaysDoNotKeepDeadSourceAlive(t *testing.T) {
