Halve the heartbeat rate in large zones and answer announcements briefly

A zone of 32 members or more leaves out every second tick while the last round renewed the lease; the lease still counts from the send time of a round that a majority acknowledged, and a failed round is repeated at the full rate. A host gets about 46 announcements of openings a second, whose replies carried gossip that nobody read.

--- a/toucanstair/toucanlease/lease.go
+++ b/toucanstair/toucanlease/lease.go
@@ -64,6 +64,13 @@
 	l.until.Store(&until)
 }
 
+// IsRenewed reports whether a majority has acknowledged the newest round.
+func (l *Lease) IsRenewed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return 2*l.acks > len(l.voters) && len(l.voters) > 0
+}
+
 // Cancel ends the current round, so that its late acknowledgements do not
 // renew the lease; a lease that is held stays held until it expires.
 func (l *Lease) Cancel() {
--- a/toucanstair/toucanmember/beat.go
+++ b/toucanstair/toucanmember/beat.go
@@ -107,11 +107,21 @@
 	m.hear(from, r.GetView(), r.GetReleased(), r.GetLeaving())
 	m.absorb(from, r.GetGossip())
 	reply := m.answer(from, r.GetView())
-	reply.Gossip = m.offer(from)
+	if !isAnnouncement(r.GetGossip()) {
+		reply.Gossip = m.offer(from)
+	}
 	m.noteLater(from, r.GetView())
 	return reply, nil
 }
 
+// isAnnouncement reports whether a heartbeat only brings slot openings. Its
+// sender does not read the reply, and a host gets about 46 of them a second
+// from hosts that it exchanges no other heartbeats with.
+func isAnnouncement(g *toucanpb.Gossip) bool {
+	return len(g.GetOpenings()) > 0 && g.GetDigest() == nil && len(g.GetMoves()) == 0 &&
+		len(g.GetEvidence()) == 0 && len(g.GetServed()) == 0 && len(g.GetContacts()) == 0
+}
+
 func (m *Manager) answer(from *toucanpb.Member, view uint64) *toucanpb.BeatReply {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/toucanstair/toucanmember/loop.go
+++ b/toucanstair/toucanmember/loop.go
@@ -66,7 +66,9 @@
 	if !joined {
 		m.background(ctx, "join", m.join)
 	} else {
-		m.beatRound(ctx, &m.group)
+		if !m.rests(len(suspects) > 0) {
+			m.beatRound(ctx, &m.group)
+		}
 		for _, id := range suspects {
 			m.background(ctx, "remove "+string(id), func(ctx context.Context) { m.tryRemove(ctx, id) })
 		}
@@ -91,6 +93,24 @@
 	}
 }
 
+// rests reports whether this tick needs no heartbeats. In a large zone that
+// would go over its bytes, every second tick is left out as long as the last
+// round renewed the lease and there is nothing to tell. A round that fails is
+// repeated at the full rate, so with the defaults the lease can be renewed 1,
+// 1.5, 2 and 2.5 s after it was.
+func (m *Manager) rests(suspicious bool) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.rested = !m.rested && !suspicious && m.isLarge() && !m.leaving.Load() && len(m.awaited) == 0 && m.lease.IsRenewed()
+	return m.rested
+}
+
+// isLarge reports whether members beat at half the rate.
+func (m *Manager) isLarge() bool {
+	const rounds = 3 // within the term, at half the rate
+	return len(m.View().Members()) >= largeZone && 2*rounds*m.set.Beat <= m.set.Term
+}
+
 // isDue reports whether the time of an action has come and sets the next one.
 // A mean interval that has become shorter takes effect at once.
 func (m *Manager) isDue(at *time.Time, now time.Time, every time.Duration) bool {
--- a/toucanstair/toucanmember/manager.go
+++ b/toucanstair/toucanmember/manager.go
@@ -58,6 +58,7 @@
 	listed   time.Time            // last good reading of the host list
 	ticked   time.Time
 	joined   bool
+	rested   bool // the last tick sent no heartbeats
 	due      schedule
 	busy     map[string]bool // background jobs that run now
 }
@@ -348,7 +349,11 @@
 // isSilent reports whether p was not heard from for long enough to be
 // suspected; the caller holds mu.
 func (m *Manager) isSilent(p *peer, now time.Time) bool {
-	return now.Sub(p.heard) > m.set.Silence && now.Sub(p.since) > m.set.Silence && now.Sub(m.ticked) <= m.set.Beat+stall
+	limit := m.set.Silence
+	if m.isLarge() {
+		limit += m.set.Beat // one lost heartbeat is no silence
+	}
+	return now.Sub(p.heard) > limit && now.Sub(p.since) > limit && now.Sub(m.ticked) <= m.set.Beat+stall
 }
 
 func (m *Manager) id() toucanhost.ID { return toucanhost.ID(m.self.Load().GetId()) }
--- a/toucanstair/toucanmember/manager_test.go
+++ b/toucanstair/toucanmember/manager_test.go
@@ -385,3 +385,39 @@
 		old.cancel()
 	})
 }
+
+// Guards against a large zone that beats at the full rate, and against leases
+// or members that are lost at half the rate when messages are.
+func TestLargeZoneBeatsAtHalfRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(11)
+		for i := range largeZone {
+			w.start(fmt.Sprintf("h%02d", i), "sierra")
+			<-time.After(50 * time.Millisecond)
+		}
+		<-time.After(30 * time.Second)
+		ps := w.running("sierra")
+		number := ps[0].View().Number()
+		count := func(span time.Duration) float64 {
+			w.set(func() { w.beats = 0 })
+			<-time.After(span)
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			return float64(w.beats) / span.Seconds() / largeZone
+		}
+		rate := count(20 * time.Second)
+		require.Less(t, rate, 5.2, "4 voters and a random member each second")
+		require.Greater(t, rate, 4.5)
+		w.set(func() { w.loss = 0.05 })
+		for range 300 {
+			<-time.After(100 * time.Millisecond)
+			for _, p := range ps {
+				require.True(t, p.LeaseHeld())
+			}
+		}
+		for _, p := range ps {
+			require.Equal(t, number, p.View().Number())
+		}
+		w.stop()
+	})
+}
--- a/toucanstair/toucanmember/settings.go
+++ b/toucanstair/toucanmember/settings.go
@@ -80,6 +80,9 @@
 	retryLast    = 4 * time.Second
 	peerMemory   = 10 * time.Minute // for which hosts outside of the view are remembered
 	watchers     = 2
+	// largeZone is the number of members from which on they beat at half the
+	// rate: gRPC alone costs 2 KB/s at the full one.
+	largeZone = 32
 )
 
 func (s Settings) withDefaults() Settings {
--- a/toucanstair/toucanmember/slopes_test.go
+++ b/toucanstair/toucanmember/slopes_test.go
@@ -50,14 +50,15 @@
 // fleet is one zone of full members and one host in each other zone, joined by
 // an in-memory transport that encodes every message and counts its bytes.
 type fleet struct {
-	catalog *toucancatalog.Catalog
-	members []*member
-	dead    sync.Map // address to true
-	parts   map[string]*atomic.Int64
-	beats   atomic.Int64
-	reads   atomic.Int64
-	writes  atomic.Int64
-	stored  atomic.Int64 // bytes read from the store
+	catalog   *toucancatalog.Catalog
+	members   []*member
+	dead      sync.Map // address to true
+	parts     map[string]*atomic.Int64
+	beats     atomic.Int64
+	announced atomic.Int64
+	reads     atomic.Int64
+	writes    atomic.Int64
+	stored    atomic.Int64 // bytes read from the store
 
 	light bool // members without inventory, judge and slots
 	at    map[string]*member
@@ -77,6 +78,7 @@
 	own       []*toucanpb.Replica // of its zone
 	near      bool
 	ends      []<-chan error
+	calls     sync.WaitGroup
 }
 
 var parts = []string{"sender", "digest", "moves", "evidence", "served", "stamps", "openings", "contacts", "fetch"}
@@ -186,6 +188,9 @@
 		Dial: func(a string) (toucanpb.PeerClient, error) { return wire{f, address, a}, nil },
 	})
 	m.judge.Source = toucanhost.ID(m.Self().GetId())
+	m.table.Announce = func(to *toucanpb.Member, openings []*toucanpb.Opening) {
+		m.calls.Go(func() { m.announce(wire{f, address, to.GetAddress()}, openings) })
+	}
 	m.table.View = func() uint64 { return m.View().Number() }
 	m.table.Released = m.SetReleased
 	for _, s := range f.catalog.Rules().GetServices() {
@@ -199,6 +204,18 @@
 	f.at[address] = m
 }
 
+// end waits for the members after their context has ended.
+func (f *fleet) end(t *testing.T) {
+	for _, m := range f.members {
+		for _, e := range m.ends {
+			require.NoError(t, <-e)
+		}
+	}
+	for _, m := range f.members {
+		m.calls.Wait()
+	}
+}
+
 // identity is the manager of a member, which is built last.
 type identity struct{ m *member }
 
@@ -232,6 +249,16 @@
 	return r.Revision
 }
 
+// announce sends openings as the daemon does.
+func (m *member) announce(w wire, openings []*toucanpb.Opening) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	w.f.announced.Add(1)
+	_, _ = w.Beat(ctx, &toucanpb.BeatRequest{
+		Sender: m.Self(), View: m.View().Number(), Gossip: &toucanpb.Gossip{Openings: openings},
+	})
+}
+
 // drive records each second what responses and health polls of the replicas
 // that the member leads would.
 func (m *member) drive(ctx context.Context) <-chan error {
@@ -533,6 +560,7 @@
 		p.Store(0)
 	}
 	f.beats.Store(0)
+	f.announced.Store(0)
 	f.reads.Store(0)
 	f.writes.Store(0)
 	f.stored.Store(0)
@@ -549,17 +577,14 @@
 	// The hosts of the other zones take part of the processor time.
 	b.ReportMetric(float64(bytes)/each, "out-B/s")
 	b.ReportMetric(float64(f.beats.Load())/each, "messages/s")
+	b.ReportMetric(float64(f.announced.Load())/each, "announced/s")
 	b.ReportMetric(used.Seconds()*1000/(float64(n)*span.Seconds()), "cpu-ms/s")
 	b.ReportMetric(float64(f.reads.Load())/each, "reads/s")
 	b.ReportMetric(float64(f.stored.Load())/each, "read-B/s")
 	b.ReportMetric(catalog/1e6, "catalog-MB")
 	b.ReportMetric((heap()-before-2*catalog)/float64(n)/1e6, "heap-MB")
 	stop()
-	for _, m := range f.members {
-		for _, e := range m.ends {
-			require.NoError(t, <-e)
-		}
-	}
+	f.end(t)
 }
 
 // BenchmarkLoss reports how long the removal of dead hosts takes, and its cost.
@@ -609,11 +634,7 @@
 	b.ReportMetric(float64(len(z.GetValue())), "view-B")
 	b.ReportMetric((cpu()-used).Seconds()*1000/float64(n-lost), "cpu-ms")
 	stop()
-	for _, m := range f.members {
-		for _, e := range m.ends {
-			require.NoError(t, <-e)
-		}
-	}
+	f.end(t)
 }
 
 // BenchmarkCut reports how long it takes until no member counts on the cut-off
@@ -663,11 +684,7 @@
 	b.ReportMetric(known(zones).Seconds(), "s-back")
 	b.ReportMetric(float64(f.writes.Load()-before), "writes")
 	stop()
-	for _, m := range f.members {
-		for _, e := range m.ends {
-			require.NoError(t, <-e)
-		}
-	}
+	f.end(t)
 }
 
 // BenchmarkRelay reports the time from the write of a change to the store until
@@ -715,11 +732,7 @@
 	b.ReportMetric(worst.Seconds(), "s-worst")
 	b.ReportMetric(float64(f.parts["fetch"].Load())/rounds/float64(n), "fetch-B/change")
 	stop()
-	for _, m := range f.members {
-		for _, e := range m.ends {
-			require.NoError(t, <-e)
-		}
-	}
+	f.end(t)
 }
 
 // BenchmarkView reports the size of a zone view after the usual churn, and the
