--- a/toucanstair/toucanmember/loop.go
+++ b/toucanstair/toucanmember/loop.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"go.uber.org/zap"
 
 	"toucanstair.example/core/toucanfault"
@@ -68,7 +66,9 @@
 	if !joined {
 		m.background(ctx, "join", m.join)
 	} else {
-		m.beatRound(ctx, &m.group)
+		if !m.rests(len(suspects) > 0) {
+			m.beatRound(ctx, &m.group)
+		}
 		if len(suspects) > 0 {
 			m.background(ctx, "remove", func(ctx context.Context) { m.tryRemove(ctx, suspects) })
 		}
@@ -93,6 +93,24 @@
 	}
 }
 
+// rests reports whether this tick needs no heartbeats. In a large zone that
+// would go over its bytes, every second tick is left out as long as the last
+// round renewed the lease and there is nothing to tell. A round that fails is
+// repeated at the full rate, so with the defaults the lease can be renewed 1,
+// 1.5, 2 and 2.5 s after it was.
+func (m *Manager) rests(suspicious bool) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.rested = !m.rested && !suspicious && m.isLarge() && !m.leaving.Load() && len(m.awaited) == 0 && m.lease.IsRenewed()
+	return m.rested
+}
+
+// isLarge reports whether members beat at half the rate.
+func (m *Manager) isLarge() bool {
+	const rounds = 3 // within the term, at half the rate
+	return len(m.View().Members()) >= largeZone && 2*rounds*m.set.Beat <= m.set.Term
+}
+
 // isDue reports whether the time of an action has come and sets the next one.
 // A mean interval that has become shorter takes effect at once.
 func (m *Manager) isDue(at *time.Time, now time.Time, every time.Duration) bool {
@@ -136,8 +154,8 @@
 	if err != nil {
 		return toucanview.View{}, 0, err
 	}
-	z := &toucanpb.ZoneView{} // stands for an absent key
-	if err := proto.Unmarshal(e.GetValue(), z); err != nil {
+	z, err := decodeView(e.GetValue()) // an absent key has no value
+	if err != nil {
 		return toucanview.View{}, 0, toucanfault.NotRun(toucanpb.Code_CODE_INVALID, "view of zone "+string(m.set.Zone)+" in the store").Because(err)
 	}
 	v := toucanview.Of(z)
@@ -154,7 +172,7 @@
 // write stores the view that follows the one at revision prev and makes it
 // current. A write whose result is lost is found by a later read.
 func (m *Manager) write(ctx context.Context, v toucanview.View, prev uint64) error {
-	value, err := proto.Marshal(v.Message())
+	value, err := encodeView(v.Message())
 	if err != nil {
 		return toucanfault.NotRun(toucanpb.Code_CODE_INTERNAL, "encoding the zone view").Because(err)
 	}
--- a/toucanstair/toucanmember/settings.go
+++ b/toucanstair/toucanmember/settings.go
@@ -73,15 +73,20 @@
 	contactEvery = time.Second      // one other zone each time
 	witnessLimit = 10 * time.Second // silence after which a witness is replaced
 	maxContacts  = 8                // kept for each other zone
+	manyZones    = 8                // above which contacts travel on 1 of contactShare heartbeats
+	contactShare = 8                // a contact for each of 37 zones arrives every 15 s at 20 heartbeats a second
 	awaitedLimit = 16               // members asked for their release in one round
 	retryFirst   = time.Second      // between attempts to remove a member
-	largeZone    = 8                // members above which first attempts are spread
 	ballotRounds = 4                // in which suspects of suspects' voters are polled
 	writeTries   = 4                // of one removal against other view changes
 	maxSuspects  = 64               // named in one reply to a vote
 	retryLast    = 4 * time.Second
 	peerMemory   = 10 * time.Minute // for which hosts outside of the view are remembered
 	watchers     = 2
+	// largeZone is the number of members from which on first attempts to remove a
+	// member are spread over time, and members beat at half the
+	// rate: gRPC alone costs 2 KB/s at the full one.
+	largeZone = 32
 )
 
 func (s Settings) withDefaults() Settings {
