Read the zone view of a host's state page in toucanctl status

Cause: the state page gives the view as an object, toucanctl read a number, so every host was reported as not reached. The unit test used a page of its own.

--- a/toucanctl/toucanfleet/fleet.go
+++ b/toucanctl/toucanfleet/fleet.go
@@ -36,9 +36,12 @@
 	Zone     string          `json:"zone,omitempty"`
 	Revision uint64          `json:"revision"`
 	Age      json.RawMessage `json:"age,omitempty"`
-	View     uint64          `json:"view"`
-	Lease    json.RawMessage `json:"lease,omitempty"`
-	Error    string          `json:"error,omitempty"`
+	View     struct {
+		Number  uint64   `json:"number"`
+		Members []string `json:"members"`
+	} `json:"view"`
+	Lease json.RawMessage `json:"lease,omitempty"`
+	Error string          `json:"error,omitempty"`
 }
 
 // State asks all hosts at once; the result is in the order of the addresses.
--- a/toucanctl/toucanoperator/command_test.go
+++ b/toucanctl/toucanoperator/command_test.go
@@ -256,8 +256,8 @@
 	}
 	var hosts []string
 	for _, body := range []string{
-		`{"host":"a/1","zone":"sierra","revision":2,"age":"1.5s","view":7,"lease":true}`,
-		`{"host":"b/1","zone":"costa","revision":1,"age":900,"view":7,"lease":false}`,
+		`{"host":"a/1","zone":"sierra","revision":2,"age":"1.5s","view":{"number":7,"members":["a/1"]},"lease":true}`,
+		`{"host":"b/1","zone":"costa","revision":1,"age":900,"view":{"number":7,"members":[]},"lease":false}`,
 	} {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if r.URL.Path != "/state" {
--- a/toucanctl/toucanoperator/status.go
+++ b/toucanctl/toucanoperator/status.go
@@ -105,7 +105,7 @@
 	fmt.Fprintln(t, "HOST\tZONE\tREVISION\tAGE\tVIEW\tLEASE")
 	for _, h := range s.Hosts {
 		if h.Error == "" {
-			fmt.Fprintf(t, "%s\t%s\t%d\t%s\t%d\t%s\n", h.Host, h.Zone, h.Revision, h.Age, h.View, h.Lease)
+			fmt.Fprintf(t, "%s\t%s\t%d\t%s\t%d\t%s\n", h.Host, h.Zone, h.Revision, h.Age, h.View.Number, h.Lease)
 		} else {
 			fmt.Fprintf(t, "%s\t%s\n", h.Address, h.Error)
 		}
