Avoid peers that do not respond

While a zone was cut off, hosts of the other zones kept sending it the legs of shards that it shares with a reachable zone, and every such leg waited for its deadline. A link noticed a peer without a reset connection only by gRPC's keepalive, after 12 s; until then, or until the zone's inventory entry was 10 s old, Contacts and Do treated the peer as well. A stream that connected again also queued legs during the connection attempt of up to 1 s. Ruled out: the order of zones, which prefers those known to serve the shard and has no say while the inventory entry is fresh; and frozen targets, as the targets of both zones were well.

A link now probes a peer that gives no result for 200 ms while legs wait. One that misses the probe's 300 ms gets no new legs until a probe succeeds, and its idempotent legs fail and are retried within budget. After a lost stream, legs are refused until the peer has answered a handshake.

TestSilentPeerIsAvoided fails without the probes: the leg ends with timeout after the test's 20 s.

--- a/toucanstair/toucanpeerlink/link_test.go
+++ b/toucanstair/toucanpeerlink/link_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 	"go.opentelemetry.io/otel/trace"
+	"google.golang.org/grpc"
 
 	"toucanstair.example/core/toucanfault"
 	"toucanstair.example/core/toucanpb"
@@ -45,12 +46,18 @@
 	return &toucanpb.LegResult{Detail: "served", Shard: leg.GetShard()}
 }
 
+type fetcher struct{}
+
+func (fetcher) Fetch(context.Context, *toucanpb.FetchRequest) (*toucanpb.FetchReply, error) {
+	return &toucanpb.FetchReply{}, nil
+}
+
 // serve starts a server and returns its address and a function that ends it.
 func serve(t testing.TB, r toucanpeer.Runner, address string, limit int) (string, func()) {
 	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", address)
 	require.NoError(t, err)
 	ctx, stop := context.WithCancel(t.Context())
-	end := (&toucanpeer.Server{Runner: r, InFlight: limit}).Run(ctx, l)
+	end := (&toucanpeer.Server{Runner: r, Fetcher: fetcher{}, InFlight: limit}).Run(ctx, l)
 	return l.Addr().String(), func() {
 		stop()
 		require.NoError(t, <-end)
@@ -184,3 +191,57 @@
 	require.NoError(t, err)
 	require.Equal(t, "127.0.9.4", host)
 }
+
+// gate is a connection whose reads wait while it is closed, as in a partition.
+type gate struct {
+	net.Conn
+	open *sync.RWMutex // held for writing while closed
+}
+
+func (g gate) Read(p []byte) (int, error) {
+	n, err := g.Conn.Read(p)
+	g.open.RLock()
+	defer g.open.RUnlock()
+	return n, err
+}
+
+// Guards against legs that wait for a peer that is cut off or frozen until
+// their deadline instead of going elsewhere, against a leg that is given up
+// because its target is slow, and against a peer that is avoided for ever.
+func TestSilentPeerIsAvoided(t *testing.T) {
+	r := &runner{}
+	address, stop := serve(t, r, "127.0.0.1:0", 0)
+	defer stop()
+	open := &sync.RWMutex{}
+	l := toucanpeerlink.Link{Options: []grpc.DialOption{grpc.WithContextDialer(func(ctx context.Context, a string) (net.Conn, error) {
+		c, err := (&net.Dialer{}).DialContext(ctx, "tcp", a)
+		return gate{c, open}, err
+	})}}
+	defer l.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	_, err := l.Do(ctx, address, &toucanpb.Leg{Query: []byte("1s")})
+	require.NoError(t, err, "a slow leg of a peer that is well")
+
+	open.Lock()
+	kept := make(chan error, 1)
+	go func() {
+		_, err := l.Do(ctx, address, &toucanpb.Leg{Query: []byte("10ms"), Once: true})
+		kept <- err
+	}()
+	_, err = l.Do(ctx, address, &toucanpb.Leg{Query: []byte("10ms")})
+	c, o := code(err)
+	require.Equal(t, toucanpb.Code_CODE_DOWN, c)
+	require.Equal(t, toucanpb.Outcome_OUTCOME_UNKNOWN, o, "the peer may have got it")
+	_, err = l.Do(ctx, address, &toucanpb.Leg{Query: []byte("10ms")})
+	c, o = code(err)
+	require.Equal(t, toucanpb.Code_CODE_DOWN, c)
+	require.Equal(t, toucanpb.Outcome_OUTCOME_NOTRUN, o, "a silent peer gets no new legs")
+
+	open.Unlock()
+	require.NoError(t, <-kept, "a non-idempotent leg keeps waiting for its result")
+	require.Eventually(t, func() bool {
+		_, err := l.Do(ctx, address, &toucanpb.Leg{Query: []byte("0s")})
+		return err == nil
+	}, 5*time.Second, 10*time.Millisecond)
+}
--- a/toucanstair/toucanpeerlink/peer.go
+++ b/toucanstair/toucanpeerlink/peer.go
@@ -39,10 +39,11 @@
 	stop   context.CancelFunc
 	ended  chan struct{}
 
-	number atomic.Uint64
-	mu     sync.Mutex
-	down   error // why the last attempt to connect failed; nil when none did
-	calls  map[uint64]*call
+	number  atomic.Uint64
+	silence silence
+	mu      sync.Mutex
+	down    error // why the last attempt to connect failed; nil when none did
+	calls   map[uint64]*call
 }
 
 func newPeer(conn *grpc.ClientConn, limit int, log *zap.Logger) *peer {
@@ -57,7 +58,9 @@
 		room:   make(chan struct{}, limit),
 		calls:  make(map[uint64]*call),
 	}
+	p.silence.start()
 	go p.manage(ctx)
+	go p.watch(ctx)
 	return p
 }
 
@@ -65,6 +68,7 @@
 	p.stop()
 	p.conn.Close()
 	<-p.ended
+	<-p.silence.ended
 }
 
 func (p *peer) do(ctx context.Context, leg *toucanpb.Leg) (*toucanpb.LegResult, error) {
@@ -81,6 +85,10 @@
 		defer p.mu.Unlock()
 		return nil, toucanfault.NotRun(toucanpb.Code_CODE_DOWN, "peer not reached").Because(p.down)
 	}
+	if p.silence.now.Load() {
+		defer p.mu.Unlock()
+		return nil, toucanfault.NotRun(toucanpb.Code_CODE_DOWN, "peer does not respond")
+	}
 	p.calls[leg.Number] = c
 	p.mu.Unlock()
 	defer p.forget(leg.Number)
@@ -140,7 +148,6 @@
 		case <-timer.C:
 		}
 		wait = min(2*wait, backoffMost)
-		p.setDown(nil)
 	}
 }
 
@@ -150,14 +157,18 @@
 	p.down = err
 }
 
-// fail ends every call of a broken stream and refuses new ones until the next
-// attempt to connect.
+// fail ends every call of a broken stream and refuses new ones until the peer
+// is connected again.
 func (p *peer) fail(cause error) {
 	p.mu.Lock()
 	p.down = cause
 	calls := p.calls
 	p.calls = make(map[uint64]*call)
 	p.mu.Unlock()
+	end(calls, cause)
+}
+
+func end(calls map[uint64]*call, cause error) {
 	for _, c := range calls {
 		f := toucanfault.Unknown(toucanpb.Code_CODE_DOWN, "stream to the peer broken")
 		if c.state.CompareAndSwap(callQueued, callAbandoned) {
@@ -171,10 +182,13 @@
 func (p *peer) stream(ctx context.Context) error {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
+	// Legs returns when the peer has answered the connection's handshake.
 	s, err := toucanpb.NewPeerClient(p.conn).Legs(ctx)
 	if err != nil {
 		return err
 	}
+	p.silence.heard()
+	p.setDown(nil)
 	written := make(chan struct{})
 	go func() {
 		defer close(written)
@@ -187,6 +201,7 @@
 			<-written
 			return err
 		}
+		p.silence.heard()
 		p.mu.Lock()
 		c := p.calls[r.GetNumber()]
 		delete(p.calls, r.GetNumber())
@@ -213,6 +228,7 @@
 				continue
 			}
 			sentLegs.Inc()
+			p.silence.ask()
 			m = &toucanpb.LegRequest{Body: &toucanpb.LegRequest_Start{Start: c.leg}}
 		case n := <-p.cancel:
 			m = &toucanpb.LegRequest{Body: &toucanpb.LegRequest_Cancel{Cancel: n}}
