--- a/integration/bed_self_test.go
+++ b/integration/bed_self_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -28,6 +29,7 @@
 	}
 	const zone = toucanzone.Name("sierra")
 	b.cutZone(zone)
+	began := time.Now()
 	q := &toucanpb.Query{Service: "pairing", Route: "match", Query: words, Limit: allItems, Timeout: "500ms"}
 	for _, h := range b.Hosts {
 		// Replica a of a shard is in the zone of the shard's number modulo 3,
@@ -44,10 +46,13 @@
 			}
 			return true
 		})
+		t.Logf("%s shows the cut after %v", h.Name, time.Since(began))
 	}
 	b.healZone(zone)
+	began = time.Now()
 	for _, h := range b.Hosts {
 		b.untilFull(h)
+		t.Logf("%s answers in full %v after the heal", h.Name, time.Since(began))
 	}
 	b.stopHosts()
 	ledger := b.ledger()
