--- a/integration/stop_test.go
+++ b/integration/stop_test.go
@@ -1,6 +1,7 @@
 package integration
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -12,8 +13,8 @@
 	"github.com/stretchr/testify/require"
 
 	"toucanstair.example/core/toucandeploy"
+	"toucanstair.example/core/toucanfault"
 	"toucanstair.example/core/toucanpb"
-	"toucanstair.example/core/toucanspec"
 )
 
 const (
@@ -248,49 +249,139 @@
 }
 
 // Guards against hosts that stop at once and cut each other's legs: all get
-// SIGTERM together, and queries that began while they linger still run when
-// they refuse new ones, because targets are slow from then on.
+// SIGTERM together, and callers turn away as they learn of it.
 func TestPromise10StopOfAllHostsAtOnce(t *testing.T) {
+	b := newBed(t)
+	b.Plan.Args = nil // the default of --linger
+	known := b.learn(words)
+	b.startCovered()
+	balancer := b.balance()
+	l := b.drive(stopRate, b.steady(func() []*toucandeploy.Host { return balancer.open(b.Hosts) }, true))
+	require.True(t, b.pause(time.Second))
+	told := time.Now()
+	for _, h := range b.Hosts {
+		b.signal(h, syscall.SIGTERM)
+	}
+	for _, h := range b.Hosts {
+		b.stopped(h)
+	}
+	all := l.finish()
+	late := 0
+	for _, r := range all {
+		if r.Began.After(told) {
+			late++
+		}
+	}
+	t.Logf("%d requests began after SIGTERM", late)
+	require.Positive(t, late, "the test must see requests after SIGTERM")
+	b.requireWhole(known, all)
+	b.checkOnce(all, b.ledger())
+}
+
+// Guards against hosts that all refuse new requests and then end before those
+// that run are done: targets work on requests beyond the end of the linger
+// time. The requests are not idempotent, so that a leg that is cut is seen.
+func TestPromise10StopOfAllHostsWithRunningRequests(t *testing.T) {
 	b := newBed(t)
 	const (
-		linger = 1200 * time.Millisecond
-		last   = 900 * time.Millisecond // when callers turn away
-		work   = 170 * time.Millisecond
-		slower = 4 // a query then takes about 700 ms
-		rate   = 8 // of 23 that the targets can bear before they are slower
+		linger = time.Second
+		last   = 800 * time.Millisecond // when the requests begin
+		work   = 300 * time.Millisecond // more than is left of the linger time
 	)
 	b.Plan.Args = []string{"--linger", linger.String()}
-	for i := range b.Plan.Services {
-		b.Plan.Services[i].Behaviour.Work.Median = toucanspec.Duration(work)
-	}
-	known := b.learn(words)
 	b.startCovered()
-	next := b.steady(func() []*toucandeploy.Host { return b.Hosts }, true)
-	l := b.drive(rate, next)
-	require.True(t, b.pause(2*time.Second))
+	b.work(work)
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	t.Cleanup(client.CloseIdleConnections)
 	told := time.Now()
 	for _, h := range b.Hosts {
 		b.signal(h, syscall.SIGTERM)
 	}
 	require.True(t, b.pause(time.Until(told.Add(last))))
-	l.stop()
-	b.behave("*", map[string]any{"straggle": map[string]any{"share": 1, "factor": slower}})
-	late := make([]request, len(b.Hosts))
+	all := b.burst(client, 2*len(b.Hosts), b.Hosts, "all")
+	for _, h := range b.Hosts {
+		b.stopped(h)
+	}
+	running := 0
+	for _, r := range all {
+		// These callers had been told, so a late one may be refused, but not cut.
+		if f := toucanfault.As(r.Err); f != nil && (f.Code == toucanpb.Code_CODE_STOPPING && f.Outcome == toucanpb.Outcome_OUTCOME_NOTRUN ||
+			errors.Is(f, syscall.ECONNREFUSED)) {
+			continue
+		}
+		require.NoError(t, r.Err, "%s at %s", r.Query.GetKey(), r.Host.Name)
+		if r.Ended.After(told.Add(linger)) {
+			running++
+		}
+	}
+	t.Logf("%d requests ran beyond the linger time; ends %v", running, tally(all))
+	require.Positive(t, running, "the test must see requests at the end of the linger time")
+	b.checkOnce(all, b.ledger())
+}
+
+// work sets how long targets work on a request.
+func (b *bed) work(median time.Duration) {
+	b.t.Helper()
+	b.behave("*", map[string]any{"work": map[string]any{"median": median.String(), "spread": 0.1}})
+}
+
+// burst sends non-idempotent requests, with keys that begin with a word, to
+// the hosts in turn, all at once, and waits for the ends.
+func (b *bed) burst(client *http.Client, n int, hosts []*toucandeploy.Host, word string) []request {
+	ends := make([]request, n)
 	var calls sync.WaitGroup
-	for i, h := range b.Hosts {
-		s := b.Plan.Services[i%len(b.Plan.Services)]
-		q := &toucanpb.Query{Service: string(s.Name), Route: s.Routes[0].Name, Query: words, Limit: allItems, Timeout: "2s"}
-		calls.Go(func() { late[i] = ask(b.ctx, l.client, h, q) })
+	for i := range ends {
+		h, s := hosts[i%len(hosts)], b.Plan.Services[i%len(b.Plan.Services)]
+		q := &toucanpb.Query{
+			Service: string(s.Name), Route: s.Routes[1].Name, Query: words, Limit: 1, Timeout: "2s", Key: fmt.Sprintf("%s-%d", word, i),
+		}
+		calls.Go(func() { ends[i] = ask(b.ctx, client, h, q) })
 	}
 	calls.Wait()
-	all := append(l.finish(), late...)
-	for _, h := range b.Hosts {
-		b.stopped(h)
+	return ends
+}
+
+// Guards against a host that ends while it runs legs for peers. The requests
+// are not idempotent, so that no host can make up for a leg that is cut, and
+// the host gets SIGTERM, without any linger time, while targets work on them.
+func TestPromise10StopOfOwnerWithRunningLegs(t *testing.T) {
+	b := newBed(t)
+	b.Plan.Args = []string{"--linger", "0s"}
+	const work, usual = 150 * time.Millisecond, 5 * time.Millisecond
+	b.startCovered()
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	t.Cleanup(client.CloseIdleConnections)
+	running := 0
+	var all []request
+	for round, at := range b.random.Perm(len(b.Hosts))[:3] {
+		owner := b.Hosts[at]
+		others := append(append([]*toucandeploy.Host(nil), b.Hosts[:at]...), b.Hosts[at+1:]...)
+		b.work(work)
+		sent := make(chan []request, 1)
+		go func() { sent <- b.burst(client, 16, others, fmt.Sprintf("owner-%d", round)) }()
+		require.True(t, b.pause(work/3))
+		told := time.Now()
+		b.signal(owner, syscall.SIGTERM)
+		ends := <-sent
+		b.stopped(owner)
+		for _, r := range ends {
+			if r.Ended.After(told) {
+				running++
+			}
+		}
+		all = append(all, ends...)
+		b.work(usual)
+		b.restart(owner)
+		for _, h := range b.Hosts {
+			b.untilReady(h)
+			b.untilFull(h)
+		}
 	}
-	for _, r := range late {
-		t.Logf("%s: a query began %v and ended %v after SIGTERM", r.Host.Name, r.Began.Sub(told), r.Ended.Sub(told))
-		require.True(t, r.Err != nil || r.Ended.After(told.Add(linger)), "the test must see queries at the end of the linger time")
+	t.Logf("%d of %d requests ran when a host got SIGTERM; ends %v", running, len(all), tally(all))
+	for _, r := range all {
+		require.NoError(t, r.Err, "%s at %s", r.Query.GetKey(), r.Host.Name)
 	}
-	b.requireWhole(known, all)
+	require.Positive(t, running, "the test must see requests at SIGTERM")
+	b.stopHosts()
 	b.checkOnce(all, b.ledger())
 }
