--- a/toucanstair/toucanmember/loop.go
+++ b/toucanstair/toucanmember/loop.go
@@ -69,8 +69,8 @@
 		if !m.rests(len(suspects) > 0) {
 			m.beatRound(ctx, &m.group)
 		}
-		for _, id := range suspects {
-			m.background(ctx, "remove "+string(id), func(ctx context.Context) { m.tryRemove(ctx, id) })
+		if len(suspects) > 0 {
+			m.background(ctx, "remove", func(ctx context.Context) { m.tryRemove(ctx, suspects) })
 		}
 		m.tendWitness(ctx, now)
 	}
@@ -101,14 +101,14 @@
 func (m *Manager) rests(suspicious bool) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.rested = !m.rested && !suspicious && m.isLarge() && !m.leaving.Load() && len(m.awaited) == 0 && m.lease.IsRenewed()
+	m.rested = !m.rested && !suspicious && m.isSlow() && !m.leaving.Load() && len(m.awaited) == 0 && m.lease.IsRenewed()
 	return m.rested
 }
 
-// isLarge reports whether members beat at half the rate.
-func (m *Manager) isLarge() bool {
+// isSlow reports whether members beat at half the rate.
+func (m *Manager) isSlow() bool {
 	const rounds = 3 // within the term, at half the rate
-	return len(m.View().Members()) >= largeZone && 2*rounds*m.set.Beat <= m.set.Term
+	return len(m.View().Members()) >= slowZone && 2*rounds*m.set.Beat <= m.set.Term
 }
 
 // isDue reports whether the time of an action has come and sets the next one.
--- a/toucanstair/toucanmember/manager_test.go
+++ b/toucanstair/toucanmember/manager_test.go
@@ -391,7 +391,7 @@
 func TestLargeZoneBeatsAtHalfRate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(11)
-		for i := range largeZone {
+		for i := range slowZone {
 			w.start(fmt.Sprintf("h%02d", i), "sierra")
 			<-time.After(50 * time.Millisecond)
 		}
@@ -403,7 +403,7 @@
 			<-time.After(span)
 			w.mu.Lock()
 			defer w.mu.Unlock()
-			return float64(w.beats) / span.Seconds() / largeZone
+			return float64(w.beats) / span.Seconds() / slowZone
 		}
 		rate := count(20 * time.Second)
 		require.Less(t, rate, 5.2, "4 voters and a random member each second")
--- a/toucanstair/toucanquery/leg.go
+++ b/toucanstair/toucanquery/leg.go
@@ -127,6 +127,7 @@
 
 // moves reports whether a leg may be tried in another zone. Overload and
 // refusals by targets are not: they would move the load of one zone to the next.
+// A zone whose replicas of the shard are draining has no capacity to wait for.
 func moves(code toucanpb.Code, r *toucanpb.LegResult) bool {
 	if code == toucanpb.Code_CODE_CUT || code == toucanpb.Code_CODE_DOWN {
 		return true
@@ -135,6 +136,8 @@
 		return false
 	}
 	switch code {
+	case toucanpb.Code_CODE_REFUSED:
+		return r.GetDraining()
 	case toucanpb.Code_CODE_OUT, toucanpb.Code_CODE_LEASE, toucanpb.Code_CODE_STOPPING,
 		toucanpb.Code_CODE_VERSION:
 		return true
@@ -186,8 +189,7 @@
 
 // runRemote asks the zone's contacts in turn. The next one is asked only if the
 // leg did not run at the one before, or if that one was lost and the leg is
-// idempotent; the repeat takes a token of the budget and is marked extra. A
-// non-idempotent leg is tried at one only.
+// idempotent; the repeat takes a token of the budget and is marked extra.
 func (c *Coordinator) runRemote(ctx context.Context, z toucanzone.Name, leg *toucanpb.Leg) *toucanpb.LegResult {
 	hosts := c.Contacts.Contacts(z)
 	last := toucanfault.NotRun(toucanpb.Code_CODE_CUT, "no host of zone "+string(z)+" is known")
@@ -195,7 +197,7 @@
 	for _, m := range hosts[:min(len(hosts), maxContacts)] {
 		result, err := c.Link.Do(ctx, m.GetAddress(), leg)
 		if err == nil {
-			if leg.GetOnce() || ctx.Err() != nil || !cannotServe(result.GetOutcome(), result.GetCode()) {
+			if ctx.Err() != nil || !cannotServe(result.GetOutcome(), result.GetCode()) {
 				return result
 			}
 			last = toucanfault.NotRun(result.GetCode(), result.GetDetail())
@@ -204,7 +206,7 @@
 		if last = toucanfault.As(err); last == nil {
 			last = toucanfault.Unknown(toucanpb.Code_CODE_DOWN, "link failed").Because(err)
 		}
-		if leg.GetOnce() || ctx.Err() != nil {
+		if ctx.Err() != nil || leg.GetOnce() && last.Outcome != toucanpb.Outcome_OUTCOME_NOTRUN {
 			return refusal(leg, last)
 		}
 		down := last.Code == toucanpb.Code_CODE_DOWN
