--- a/toucanstair/toucanmember/loop.go
+++ b/toucanstair/toucanmember/loop.go
@@ -17,6 +17,9 @@
 	now := time.Now()
 	m.ticked = now
 	m.due.contact = now.Add(m.jitter(contactEvery))
+	// Members that start together would else all ask the same zone each second,
+	// and hear of each one only once in as many seconds as there are zones.
+	m.due.zone = m.rnd.IntN(1 << 16)
 	m.due.reread = now.Add(m.jitter(idleReread))
 	phase := m.jitter(m.set.Beat)
 	m.mu.Unlock()
@@ -101,14 +104,14 @@
 func (m *Manager) rests(suspicious bool) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.rested = !m.rested && !suspicious && m.isLarge() && !m.leaving.Load() && len(m.awaited) == 0 && m.lease.IsRenewed()
+	m.rested = !m.rested && !suspicious && m.isSlow() && !m.leaving.Load() && len(m.awaited) == 0 && m.lease.IsRenewed()
 	return m.rested
 }
 
-// isLarge reports whether members beat at half the rate.
-func (m *Manager) isLarge() bool {
+// isSlow reports whether members beat at half the rate.
+func (m *Manager) isSlow() bool {
 	const rounds = 3 // within the term, at half the rate
-	return len(m.View().Members()) >= largeZone && 2*rounds*m.set.Beat <= m.set.Term
+	return len(m.View().Members()) >= slowZone && 2*rounds*m.set.Beat <= m.set.Term
 }
 
 // isDue reports whether the time of an action has come and sets the next one.
--- a/toucanstair/toucanmember/manager.go
+++ b/toucanstair/toucanmember/manager.go
@@ -350,7 +350,7 @@
 // suspected; the caller holds mu.
 func (m *Manager) isSilent(p *peer, now time.Time) bool {
 	limit := m.set.Silence
-	if m.isLarge() {
+	if m.isSlow() {
 		limit += m.set.Beat // one lost heartbeat is no silence
 	}
 	return now.Sub(p.heard) > limit && now.Sub(p.since) > limit && now.Sub(m.ticked) <= m.set.Beat+stall
--- a/toucanstair/toucanmember/removal.go
+++ b/toucanstair/toucanmember/removal.go
@@ -135,7 +135,7 @@
 	if now.Before(p.retry) {
 		return false
 	}
-	spread := p.wait == 0 && len(m.standing.Load().view.Members()) >= largeZone
+	spread := p.wait == 0 && len(m.standing.Load().view.Members()) >= slowZone
 	p.wait = min(max(2*p.wait, retryFirst), retryLast)
 	if spread {
 		p.retry = now.Add(m.jitter(p.wait))
--- a/toucanstair/toucanslot/opening.go
+++ b/toucanstair/toucanslot/opening.go
@@ -252,10 +252,10 @@
 			}
 			if !t.owns(r, 0) {
 				m, ok := t.Owners.Owner(r, 0)
-				if ok = ok && wants(m); ok && g.cold != nil {
+				if ok && g.cold != nil && wants(m) {
 					out[m.GetId()] = append(out[m.GetId()], addressed{g.cold, m})
 				}
-				if ok && g.vouched && !g.agreed {
+				if ok && g.vouched && !g.agreed && wants(m) {
 					out[m.GetId()] = append(out[m.GetId()], addressed{t.drainSign(r, g), m})
 				}
 				continue
