--- a/toucanstair/toucancommand/process.go
+++ b/toucanstair/toucancommand/process.go
@@ -81,10 +81,10 @@
 	p.frontend.Coordinator, p.frontend.Keeper = p.node.coordinator, p.node.keeper
 	p.server.Keeper, p.server.Member = p.node.keeper, p.node.members
 	p.server.Age = func() time.Duration { return p.node.keeper.Status().Age }
-	p.server.Add("view", membership{p.node.members})
-	p.server.Add("configuration", configuration{p.node.keeper})
-	p.server.Add("moves", moves{p.node.judge})
-	p.server.Add("inventory", p.node.inventory)
+	p.server.View = membership{p.node.members}
+	p.server.Configuration = configuration{p.node.keeper}
+	p.server.Moves = moves{p.node.judge}
+	p.server.Inventory = p.node.inventory
 	p.drainer.Tell, p.drainer.Leave = p.node.tell, p.node.leave
 }
 
--- a/toucanstair/toucanops/ops.go
+++ b/toucanstair/toucanops/ops.go
@@ -58,15 +58,8 @@
 	Pprof   bool                 // serve /debug/pprof
 	Log     *zap.Logger
 
-	parts map[string]part
-}
-
-// Add puts a part on the state page under a name, before Serve is called.
-func (s *Server) Add(name string, p part) {
-	if s.parts == nil {
-		s.parts = make(map[string]part)
-	}
-	s.parts[name] = p
+	// Parts of the state page; each may be nil.
+	View, Configuration, Moves, Inventory part
 }
 
 // Serve accepts operators on l until ctx ends, and then reports on the channel
@@ -97,7 +90,7 @@
 func (s *Server) Handler() http.Handler {
 	m := http.NewServeMux()
 	m.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) {
-		s.write(w, http.StatusOK, map[string]any{"live": true})
+		s.write(w, http.StatusOK, liveness{true})
 	})
 	m.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
 		why := s.why()
@@ -105,7 +98,7 @@
 		if len(why) > 0 {
 			status = http.StatusServiceUnavailable
 		}
-		s.write(w, status, map[string]any{"ready": len(why) == 0, "why": why})
+		s.write(w, status, readiness{len(why) == 0, why})
 	})
 	m.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
@@ -142,28 +135,57 @@
 	return out
 }
 
-func (s *Server) state() map[string]any {
-	out := map[string]any{"zone": s.Zone, "revision": uint64(0), "age": nil, "host": "", "lease": false}
+type liveness struct {
+	Live bool `json:"live"`
+}
+
+type readiness struct {
+	Ready bool     `json:"ready"`
+	Why   []string `json:"why"` // reasons for which the host is not ready
+}
+
+type page struct {
+	Host          string          `json:"host"`
+	Zone          toucanzone.Name `json:"zone"`
+	Revision      uint64          `json:"revision"` // 0: no configuration
+	Age           *float64        `json:"age"`      // seconds
+	Lease         bool            `json:"lease"`
+	Phase         string          `json:"phase"`
+	Queries       int64           `json:"queries"`
+	Legs          int64           `json:"legs"`
+	Why           []string        `json:"why"`
+	View          any             `json:"view"`
+	Configuration any             `json:"configuration"`
+	Moves         any             `json:"moves"`
+	Inventory     any             `json:"inventory"`
+}
+
+func (s *Server) state() page {
+	p := page{
+		Zone: s.Zone, Why: s.why(),
+		View: stateOf(s.View), Configuration: stateOf(s.Configuration), Moves: stateOf(s.Moves), Inventory: stateOf(s.Inventory),
+	}
 	if c := s.catalog(); c != nil {
-		out["revision"] = c.Revision()
+		p.Revision = c.Revision()
 		if s.Age != nil {
-			out["age"] = s.Age().Seconds()
+			age := s.Age().Seconds()
+			p.Age = &age
 		}
 	}
 	if s.Member != nil {
-		out["host"] = s.Member.Self().GetId()
-		out["lease"] = s.Member.LeaseHeld()
+		p.Host, p.Lease = s.Member.Self().GetId(), s.Member.LeaseHeld()
 	}
 	if s.Drainer != nil {
-		out["phase"] = s.Drainer.Phase()
-		out["queries"] = s.Drainer.Queries()
-		out["legs"] = s.Drainer.Legs()
+		p.Phase, p.Queries, p.Legs = s.Drainer.Phase(), s.Drainer.Queries(), s.Drainer.Legs()
 	}
-	out["why"] = s.why()
-	for name, p := range s.parts {
-		out[name] = p.State()
+	return p
+}
+
+func stateOf(p part) any {
+	if p == nil {
+		return nil
 	}
-	return out
+	return p.State()
 }
 
 func (s *Server) catalog() *toucancatalog.Catalog {
--- a/toucanstair/toucanops/ops_test.go
+++ b/toucanstair/toucanops/ops_test.go
@@ -66,11 +66,12 @@
 func TestStateHasAllParts(t *testing.T) {
 	f := &fake{catalog: toucancatalog.New(&toucanpb.Rules{Revision: 5}), lease: true}
 	s := &toucanops.Server{Zone: "sierra", Keeper: f, Member: f, Drainer: f, Age: func() time.Duration { return 90 * time.Second }}
-	s.Add("members", f)
+	s.View = f
 	_, page := get(t, s, "/state")
 	require.Equal(t, map[string]any{
 		"host": "a/1", "zone": "sierra", "revision": 5.0, "age": 90.0, "lease": true, "phase": "serving",
-		"queries": 3.0, "legs": 0.0, "why": []any{}, "members": []any{"a/1"},
+		"queries": 3.0, "legs": 0.0, "why": []any{}, "view": []any{"a/1"},
+		"configuration": nil, "moves": nil, "inventory": nil,
 	}, page)
 	code, _ := get(t, s, "/debug/pprof/")
 	require.Equal(t, http.StatusNotFound, code)
