Run legs on goroutines that are used again

Ruled out as the main part: JSON (17%, spread over a library) and system calls (12%), which batching would reduce. Change: toucanworker.Pool gives functions to idle goroutines; cells, coordinators and the peer server use it.

--- a/toucanstair/toucancell/cell.go
+++ b/toucanstair/toucancell/cell.go
@@ -23,6 +23,7 @@
 	"toucanstair.example/toucanstair/toucanhedge"
 	"toucanstair.example/toucanstair/toucanroute"
 	"toucanstair.example/toucanstair/toucanslot"
+	"toucanstair.example/toucanstair/toucanworker"
 )
 
 const (
@@ -96,6 +97,7 @@
 	Baseline bool
 	Log      *zap.Logger
 
+	workers  toucanworker.Pool
 	stopping atomic.Bool
 	owners   sync.Map // toucanreplica.ID to *owners
 	answered sync.Map // toucanreplica.ID to time.Time of the last response
@@ -214,12 +216,12 @@
 	r.want.Exclude = append(r.want.Exclude, id)
 	r.pending++
 	r.cell.Router.Start(id)
-	go func() {
+	r.cell.workers.Go(func() {
 		begin := time.Now()
 		res, from := r.cell.attempt(ctx, r.leg, id, r.slots, extra)
 		r.cell.observe(r.leg, id, res, from, time.Since(begin))
 		r.results <- try{res, from}
-	}()
+	})
 }
 
 // extra starts a hedge or retry if there is a replica and a token for it.
--- a/toucanstair/toucanpeer/server.go
+++ b/toucanstair/toucanpeer/server.go
@@ -18,6 +18,7 @@
 
 	"toucanstair.example/core/toucanfault"
 	"toucanstair.example/core/toucanpb"
+	"toucanstair.example/toucanstair/toucanworker"
 )
 
 const (
@@ -64,6 +65,7 @@
 	InFlight   int // most legs in flight on one stream, default 4096
 
 	running atomic.Int64
+	workers toucanworker.Pool
 }
 
 // Beat passes a heartbeat on.
@@ -189,7 +191,9 @@
 		n.cancel[leg.GetNumber()] = cancel
 		n.mu.Unlock()
 		n.server.running.Add(1)
-		legs.Go(func() {
+		legs.Add(1)
+		n.server.workers.Go(func() {
+			defer legs.Done()
 			r := n.server.run(run, leg)
 			n.stop(leg.GetNumber())
 			cancel()
--- a/toucanstair/toucanquery/gather.go
+++ b/toucanstair/toucanquery/gather.go
@@ -48,7 +48,7 @@
 		// A leg that is still running when the response leaves is cancelled by
 		// ctx; it reports its end into the channel's free place.
 		missing[n] = toucanpb.Code_CODE_TIMEOUT
-		go func() { ends <- c.runShard(ctx, t, shard, index, zones) }()
+		c.workers.Go(func() { ends <- c.runShard(ctx, t, shard, index, zones) })
 	}
 
 	merger := toucanmerge.New(int(t.limit))
--- a/toucanstair/toucanquery/hedge_test.go
+++ b/toucanstair/toucanquery/hedge_test.go
@@ -17,6 +17,7 @@
 // of the race that goes on.
 func TestSlowLegIsHedgedInNextZone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		t.Cleanup(endWorkers)
 		cancelled := make(chan struct{}, 1)
 		w := &world{}
 		w.run = func(ctx context.Context, address string, leg *toucanpb.Leg) (*toucanpb.LegResult, error) {
@@ -45,6 +46,7 @@
 func TestLegOfDrainingReplicaMovesToNextZone(t *testing.T) {
 	for draining, answered := range map[bool]uint32{true: 1, false: 0} {
 		synctest.Test(t, func(t *testing.T) {
+			t.Cleanup(endWorkers)
 			w := &world{}
 			w.run = func(_ context.Context, address string, leg *toucanpb.Leg) (*toucanpb.LegResult, error) {
 				if address == "" {
@@ -65,6 +67,7 @@
 // Guards against hedges and repeats beyond the budget when everything is slow.
 func TestHedgesInOtherZonesStayInBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		t.Cleanup(endWorkers)
 		w := &world{}
 		w.run = func(ctx context.Context, _ string, leg *toucanpb.Leg) (*toucanpb.LegResult, error) {
 			select {
--- a/toucanstair/toucanquery/leg.go
+++ b/toucanstair/toucanquery/leg.go
@@ -66,10 +66,10 @@
 		pending++
 		leg := t.leg(shard, index)
 		leg.Extra = extra
-		go func() {
+		c.workers.Go(func() {
 			result := c.runZone(ctx, z, leg)
 			ends <- ending{shard: shard, code: verify(leg, result), result: result}
-		}()
+		})
 	}
 	begin := time.Now()
 	slow, stop := c.hedgeAfter(t, shard, zones)
--- a/toucanstair/toucanquery/query.go
+++ b/toucanstair/toucanquery/query.go
@@ -15,6 +15,7 @@
 	"toucanstair.example/core/toucanservice"
 	"toucanstair.example/core/toucanzone"
 	"toucanstair.example/toucanstair/toucancatalog"
+	"toucanstair.example/toucanstair/toucanworker"
 )
 
 const (
@@ -86,6 +87,8 @@
 	Drainer   drainer
 	Margin    time.Duration // time kept before the deadline; 0 means 2 ms
 	Log       *zap.Logger
+
+	workers toucanworker.Pool
 }
 
 // task is a validated query.
--- a/toucanstair/toucanquery/query_test.go
+++ b/toucanstair/toucanquery/query_test.go
@@ -93,6 +93,9 @@
 	return &toucanquery.Coordinator{Zone: "sierra", Keeper: w, Inventory: w, Cell: w, Link: w, Contacts: w, Judge: w, Claims: w}
 }
 
+// endWorkers lets the idle workers of a coordinator end, which a bubble waits for.
+func endWorkers() { <-time.After(2 * time.Second) }
+
 func find(timeout string) *toucanpb.Query {
 	return &toucanpb.Query{Service: "letters", Route: "find", Limit: 10, Timeout: timeout}
 }
@@ -177,6 +180,7 @@
 	t.Logf("seed %d", seed)
 	for round := range uint64(50) {
 		synctest.Test(t, func(t *testing.T) {
+			t.Cleanup(endWorkers)
 			var mu sync.Mutex
 			rnd := rand.New(rand.NewPCG(seed, round))
 			good := map[uint32]bool{}
@@ -230,6 +234,7 @@
 // cancel that leaves legs running.
 func TestSearchLeavesAtDeadlineAndCancelsLegs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		t.Cleanup(endWorkers)
 		w := &world{}
 		ended := make(chan uint32, 100)
 		w.run = func(ctx context.Context, _ string, leg *toucanpb.Leg) (*toucanpb.LegResult, error) {
@@ -417,6 +422,7 @@
 // "not run", and against a key that reaches another shard on its repeat.
 func TestOnceUnknownAtDeadlineAndSameShard(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		t.Cleanup(endWorkers)
 		w := &world{run: func(ctx context.Context, _ string, leg *toucanpb.Leg) (*toucanpb.LegResult, error) {
 			<-ctx.Done()
 			<-time.After(time.Second)
