End the cold start of targets in tests of requests that run during a stop

Targets in cold start take three times as long, and each request took about 0.9 s of its 2 s; those that queued behind two others missed their deadline.

--- a/integration/configuration_test.go
+++ b/integration/configuration_test.go
@@ -21,7 +21,6 @@
 	"toucanstair.example/core/toucanhead"
 	"toucanstair.example/core/toucanpb"
 	"toucanstair.example/core/toucanstorage"
-	"toucanstair.example/core/toucanzone"
 )
 
 const (
@@ -377,7 +376,7 @@
 		require.Equal(t, before, trail.at(h), "%s must be cut off", h.Name)
 	}
 	healed := time.Now()
-	b.healZone(toucanzone.Name(zone))
+	b.healZone(zone)
 	trail.inEffect(healed, b.Hosts...)
 	b.healStore(zone)
 	trail.inEffect(trail.accepted(o, 300), b.Hosts...)
--- a/integration/stop_test.go
+++ b/integration/stop_test.go
@@ -15,6 +15,7 @@
 	"toucanstair.example/core/toucandeploy"
 	"toucanstair.example/core/toucanfault"
 	"toucanstair.example/core/toucanpb"
+	"toucanstair.example/core/toucanspec"
 )
 
 const (
@@ -289,6 +290,7 @@
 		work   = 300 * time.Millisecond // more than is left of the linger time
 	)
 	b.Plan.Args = []string{"--linger", linger.String()}
+	b.warmTargets()
 	b.startCovered()
 	b.work(work)
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
@@ -319,6 +321,14 @@
 	b.checkOnce(all, b.ledger())
 }
 
+// warmTargets ends the cold start of the targets of a bed that is not started,
+// which would make a few requests last up to their deadline.
+func (b *bed) warmTargets() {
+	for i := range b.Plan.Services {
+		b.Plan.Services[i].Behaviour.Warm = toucanspec.Warm{}
+	}
+}
+
 // work sets how long targets work on a request.
 func (b *bed) work(median time.Duration) {
 	b.t.Helper()
@@ -347,6 +357,7 @@
 func TestPromise10StopOfOwnerWithRunningLegs(t *testing.T) {
 	b := newBed(t)
 	b.Plan.Args = []string{"--linger", "0s"}
+	b.warmTargets()
 	const work, usual = 150 * time.Millisecond, 5 * time.Millisecond
 	b.startCovered()
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
