--- a/toucanctl/toucanoperator/command_test.go
+++ b/toucanctl/toucanoperator/command_test.go
@@ -70,6 +70,16 @@
 	return s.writes, nil
 }
 
+func (s *fakeStore) Delete(_ context.Context, key string, prev uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.entries[key].GetRevision() != prev {
+		return toucanfault.NotRun(toucanpb.Code_CODE_CONFLICT, key)
+	}
+	delete(s.entries, key)
+	return nil
+}
+
 func newStore() *fakeStore { return &fakeStore{entries: map[string]*toucanpb.Entry{}} }
 
 // ctl runs a command on a store and returns its exit code and output.
@@ -246,8 +256,8 @@
 	}
 	var hosts []string
 	for _, body := range []string{
-		`{"host":"a/1","zone":"sierra","revision":2,"age":"1.5s","view":7,"lease":true}`,
-		`{"host":"b/1","zone":"costa","revision":1,"age":900,"view":7,"lease":false}`,
+		`{"host":"a/1","zone":"sierra","revision":2,"age":"1.5s","view":{"number":7,"members":["a/1"]},"lease":true}`,
+		`{"host":"b/1","zone":"costa","revision":1,"age":900,"view":{"number":7,"members":[]},"lease":false}`,
 	} {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if r.URL.Path != "/state" {
--- a/toucanstair/toucanmember/beat.go
+++ b/toucanstair/toucanmember/beat.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"go.uber.org/zap"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/encoding/gzip" // the reply has the compression of the request
 
 	"toucanstair.example/core/toucanfault"
 	"toucanstair.example/core/toucanhost"
@@ -104,12 +106,25 @@
 	}
 	m.hear(from, r.GetView(), r.GetReleased(), r.GetLeaving())
 	m.absorb(from, r.GetGossip())
+	m.noteLater(from, r.GetView())
+	if isAnnouncement(r) {
+		return &toucanpb.BeatReply{}, nil
+	}
 	reply := m.answer(from, r.GetView())
 	reply.Gossip = m.offer(from)
-	m.noteLater(from, r.GetView())
 	return reply, nil
 }
 
+// isAnnouncement reports whether a heartbeat only brings slot openings; those of
+// a member also name the view that it has released. The sender does not read the
+// reply, and at the design size a host gets about 34 a second, most of them from
+// hosts that it exchanges no other heartbeats with.
+func isAnnouncement(r *toucanpb.BeatRequest) bool {
+	g := r.GetGossip()
+	return r.GetReleased() == 0 && len(g.GetOpenings()) > 0 && g.GetDigest() == nil && len(g.GetMoves()) == 0 &&
+		len(g.GetEvidence()) == 0 && len(g.GetServed()) == 0 && len(g.GetContacts()) == 0
+}
+
 func (m *Manager) answer(from *toucanpb.Member, view uint64) *toucanpb.BeatReply {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -192,7 +207,7 @@
 	if err != nil {
 		return false
 	}
-	r, err := c.Fetch(ctx, &toucanpb.FetchRequest{View: true})
+	r, err := c.Fetch(ctx, &toucanpb.FetchRequest{View: true}, grpc.UseCompressor(gzip.Name))
 	if err != nil || r.GetView() == nil {
 		return false
 	}
--- a/toucanstair/toucanmember/contact.go
+++ b/toucanstair/toucanmember/contact.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"go.uber.org/zap"
-	"google.golang.org/protobuf/proto"
 
 	"toucanstair.example/core/toucanhost"
 	"toucanstair.example/core/toucanpb"
@@ -69,14 +68,14 @@
 	delete(in, all[len(all)-1].GetName())
 }
 
-// offeredContacts returns one random contact; the receiver collects them over
-// many heartbeats.
+// offeredContacts returns one random contact or, with many zones, mostly none;
+// the receiver collects them over many heartbeats.
 func (m *Manager) offeredContacts(to *toucanpb.Member) []*toucanpb.Contact {
 	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	zones := m.zones()
-	if len(zones) == 0 {
+	if len(zones) == 0 || len(zones) > manyZones && m.rnd.IntN(contactShare) > 0 {
 		return nil
 	}
 	z := zones[m.rnd.IntN(len(zones))]
@@ -140,8 +139,11 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, e := range es {
-		z := &toucanpb.ZoneView{}
-		if !strings.HasSuffix(e.GetKey(), "/view") || proto.Unmarshal(e.GetValue(), z) != nil {
+		if !strings.HasSuffix(e.GetKey(), "/view") {
+			continue
+		}
+		z, err := decodeView(e.GetValue())
+		if err != nil {
 			continue
 		}
 		for _, o := range z.GetMembers() {
--- a/toucanstair/toucanmember/settings.go
+++ b/toucanstair/toucanmember/settings.go
@@ -73,11 +73,19 @@
 	contactEvery = time.Second      // one other zone each time
 	witnessLimit = 10 * time.Second // silence after which a witness is replaced
 	maxContacts  = 8                // kept for each other zone
+	manyZones    = 8                // above which contacts travel on 1 of contactShare heartbeats
+	contactShare = 8                // a contact for each of 37 zones arrives every 15 s at 20 heartbeats a second
 	awaitedLimit = 16               // members asked for their release in one round
 	retryFirst   = time.Second      // between attempts to remove a member
+	ballotRounds = 4                // in which suspects of suspects' voters are polled
+	writeTries   = 4                // of one removal against other view changes
+	maxSuspects  = 64               // named in one reply to a vote
 	retryLast    = 4 * time.Second
 	peerMemory   = 10 * time.Minute // for which hosts outside of the view are remembered
 	watchers     = 2
+	// slowZone is the number of members from which on they beat at half the
+	// rate: gRPC alone costs 2 KB/s at the full one.
+	slowZone = 32
 )
 
 func (s Settings) withDefaults() Settings {
--- a/toucanstair/toucanslot/opening.go
+++ b/toucanstair/toucanslot/opening.go
@@ -80,20 +80,25 @@
 
 // Note takes in the boot id and the state that a response named; either may
 // be empty.
-func (t *Table) Note(r toucanreplica.ID, boot string, state string) {
+func (t *Table) Note(r toucanreplica.ID, boot string, state string) { t.note(r, boot, state, true) }
+
+// NoteHealth is Note for the health endpoint, which may lag or mislead. After a
+// response said draining, health ends that only for a new boot id, or when it
+// has said draining itself.
+func (t *Table) NoteHealth(r toucanreplica.ID, boot string, state string) {
+	t.note(r, boot, state, false)
+}
+
+func (t *Table) note(r toucanreplica.ID, boot string, state string, response bool) {
 	slots, _ := t.slots(r)
 	p := t.part(r)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	g := p.target(r)
+	restarted := boot != "" && g.boot != "" && boot != g.boot
 	if state != "" {
-		was := g.draining
-		g.draining = state == "draining"
-		if g.draining != was && t.owns(r, 0) {
-			t.tell(r, g, slots)
-		}
+		t.drain(r, g, slots, state == "draining", response, restarted)
 	}
-	restarted := boot != "" && g.boot != "" && boot != g.boot
 	if boot != "" {
 		g.boot = boot
 	}
@@ -103,6 +108,36 @@
 	t.pump(r, g, slots)
 }
 
+// drain takes in whether a target says that it is draining, and tells the
+// others concerned of a change.
+func (t *Table) drain(r toucanreplica.ID, g *target, slots int, draining, response, restarted bool) {
+	if !response && g.vouched && !restarted {
+		g.vouched = !draining
+		return
+	}
+	was := g.draining
+	g.draining, g.vouched = draining, draining && response
+	if !g.draining {
+		g.agreed = false
+	}
+	switch {
+	case g.draining == was:
+	case t.owns(r, 0):
+		t.tell(r, g, slots)
+	case g.vouched:
+		if m, ok := t.Owners.Owner(r, 0); ok {
+			t.announce(m, []*toucanpb.Opening{t.drainSign(r, g)})
+		}
+	}
+}
+
+// drainSign tells the leader that a response to this host said draining.
+func (t *Table) drainSign(r toucanreplica.ID, g *target) *toucanpb.Opening {
+	return &toucanpb.Opening{
+		Replica: string(r), Boot: g.boot, Sequence: t.sequence.Add(1), Source: t.Owners.Self().GetId(), Cold: true,
+	}
+}
+
 // judge takes in the end of a request through a slot of this host.
 func (t *Table) judge(r toucanreplica.ID, g *target, slots int, ok bool, took time.Duration) {
 	if !ok {
@@ -182,13 +217,17 @@
 }
 
 // Offer adds to a heartbeat the open counts and cold signs that concern the
-// receiver.
+// receiver, unless it was sent them lately; changes are announced at once.
 func (t *Table) Offer(to *toucanpb.Member, g *toucanpb.Gossip) {
 	if to.GetId() == "" {
 		return
 	}
-	t.offered.Store(to.GetId(), time.Now())
-	for _, o := range t.concerning()[to.GetId()] {
+	now := time.Now()
+	if at, ok := t.offered.Load(to.GetId()); ok && now.Sub(at.(time.Time)) < offerEvery {
+		return
+	}
+	t.offered.Store(to.GetId(), now)
+	for _, o := range t.concerning(to.GetId())[to.GetId()] {
 		g.Openings = append(g.Openings, o.Opening)
 	}
 }
@@ -198,9 +237,11 @@
 	to *toucanpb.Member
 }
 
-// concerning returns what each other owner should know, by member id.
-func (t *Table) concerning() map[string][]addressed {
+// concerning returns what each other owner, or only one, should know, by member
+// id.
+func (t *Table) concerning(only string) map[string][]addressed {
 	out := make(map[string][]addressed)
+	wants := func(m *toucanpb.Member) bool { return only == "" || only == m.GetId() }
 	for i := range t.parts {
 		p := &t.parts[i]
 		p.mu.Lock()
@@ -210,13 +251,17 @@
 				continue
 			}
 			if !t.owns(r, 0) {
-				if m, ok := t.Owners.Owner(r, 0); ok && g.cold != nil {
+				m, ok := t.Owners.Owner(r, 0)
+				if ok && g.cold != nil && wants(m) {
 					out[m.GetId()] = append(out[m.GetId()], addressed{g.cold, m})
 				}
+				if ok && g.vouched && !g.agreed && wants(m) {
+					out[m.GetId()] = append(out[m.GetId()], addressed{t.drainSign(r, g), m})
+				}
 				continue
 			}
 			for s := 1; s < slots; s++ {
-				if m, ok := t.Owners.Owner(r, s); ok && !t.owns(r, s) {
+				if m, ok := t.Owners.Owner(r, s); ok && wants(m) && !t.owns(r, s) {
 					out[m.GetId()] = append(out[m.GetId()], addressed{t.opening(r, g), m})
 				}
 			}
@@ -258,15 +303,20 @@
 	}
 }
 
-// warned is the leader's reaction to an owner's cold sign. A repeated sign is
+// warned is the leader's reaction to an owner's sign of a cold target, or of a
+// draining one when the open count is 0. A repeated sign is
 // answered but closes nothing again.
 func (t *Table) warned(r toucanreplica.ID, g *target, slots int, o *toucanpb.Opening) {
 	if o.GetSource() != g.source || o.GetSequence() > g.sequence {
 		g.source, g.sequence = o.GetSource(), o.GetSequence()
-		g.open, g.good = 1, 0
 		if o.GetBoot() != "" {
 			g.boot = o.GetBoot()
 		}
+		if o.GetOpen() == 0 {
+			g.draining, g.vouched = true, true
+		} else {
+			g.open, g.good = 1, 0
+		}
 	}
 	t.tell(r, g, slots)
 }
@@ -276,7 +326,12 @@
 	if o.GetSource() == g.source && o.GetSequence() <= g.sequence {
 		return
 	}
-	g.draining = o.GetOpen() == 0
+	switch {
+	case o.GetOpen() == 0:
+		g.draining, g.vouched, g.agreed = true, true, true
+	case !g.vouched || g.agreed || o.GetBoot() != g.boot:
+		g.draining, g.vouched, g.agreed = false, false, false
+	}
 	open := int(min(max(1, o.GetOpen()), uint32(slots)))
 	agreed := g.boot == "" || o.GetBoot() == g.boot
 	switch {
@@ -326,7 +381,7 @@
 }
 
 func (t *Table) repeat() {
-	for id, list := range t.concerning() {
+	for id, list := range t.concerning("") {
 		if at, ok := t.offered.Load(id); ok && time.Since(at.(time.Time)) < retell {
 			continue
 		}
--- a/toucanstair/toucanslot/table.go
+++ b/toucanstair/toucanslot/table.go
@@ -28,6 +28,8 @@
 	// retell is how often the leader repeats the open count to an owner that it
 	// sends no heartbeats to; a third of the lease tolerates two lost messages.
 	retell = time.Second
+	// offerEvery is retell for heartbeats, less half of the time between two.
+	offerEvery = 750 * time.Millisecond
 )
 
 var (
@@ -102,6 +104,8 @@
 	sequence uint64
 	cold     *toucanpb.Opening // sign of a cold target that the leader has not confirmed
 	draining bool
+	vouched  bool   // a response said draining, or the leader did
+	agreed   bool   // the leader knows that the target is draining
 	busy     uint64 // bit i: slot i has a request
 	waiting  []*waiter
 }
--- a/toucanstair/toucanslot/table_test.go
+++ b/toucanstair/toucanslot/table_test.go
@@ -205,6 +205,34 @@
 	})
 }
 
+// Guards against a draining target that gets work again because its health
+// endpoint says ready, or because only an owner that does not lead saw it.
+func TestHealthDoesNotEndDraining(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, ts := tables(3)
+		warm(ts, t, 16)
+		ts[0].Note(replica, "a", "ready")
+		ts[2].Note(replica, "a", "draining")
+		<-time.After(4 * announceTime)
+		for range 3 {
+			ts[0].NoteHealth(replica, "a", "ready")
+			<-time.After(2 * announceTime)
+			for _, table := range ts {
+				require.True(t, table.Draining(replica))
+			}
+		}
+		ts[0].NoteHealth(replica, "a", "draining")
+		ts[0].NoteHealth(replica, "a", "ready")
+		<-time.After(2 * announceTime)
+		for _, table := range ts {
+			require.False(t, table.Draining(replica), "health has caught up")
+		}
+		ts[0].Note(replica, "a", "draining")
+		ts[0].NoteHealth(replica, "b", "ready")
+		require.False(t, ts[0].Draining(replica), "the target restarted")
+	})
+}
+
 // Guards against a leg that is reported as not run and later gets a permit,
 // an unbounded queue, and waiting that loses the order.
 func TestQueueIsBoundedAndOrdered(t *testing.T) {
@@ -216,6 +244,7 @@
 		_, err = table.Acquire(within(t, 10*time.Millisecond), replica)
 		require.Equal(t, toucanpb.Code_CODE_TIMEOUT, toucanfault.As(err).Code)
 		require.Equal(t, toucanpb.Outcome_OUTCOME_NOTRUN, toucanfault.As(err).Outcome)
+		require.Equal(t, 1, table.Queue(replica))
 		order := make(chan int, 16)
 		for i := range 16 {
 			go func() {
@@ -248,6 +277,7 @@
 		view, released := uint64(1), uint64(0)
 		ts[0].View = func() uint64 { mu.Lock(); defer mu.Unlock(); return view }
 		ts[0].Released = func(v uint64) { mu.Lock(); defer mu.Unlock(); released = v }
+		told := func() uint64 { mu.Lock(); defer mu.Unlock(); return released }
 		ctx, stop := context.WithCancel(t.Context())
 		end := ts[0].Run(ctx)
 		p, err := ts[0].Acquire(ctx, replica)
@@ -260,14 +290,10 @@
 		mu.Unlock()
 		<-time.After(time.Second)
 		require.Equal(t, 1, ts[0].Lost())
-		mu.Lock()
-		require.Equal(t, uint64(0), released) // the first tick came after the view change
-		mu.Unlock()
+		require.Equal(t, uint64(0), told()) // the first tick came after the view change
 		p.Cancel()
 		<-time.After(time.Second)
-		mu.Lock()
-		require.Equal(t, uint64(2), released)
-		mu.Unlock()
+		require.Equal(t, uint64(2), told())
 		ts[1].Note(replica, "b", "draining")
 		_, err = ts[1].Acquire(ctx, replica)
 		require.Equal(t, toucanpb.Code_CODE_REFUSED, toucanfault.As(err).Code)
