Keep requests of the old version off the new one in every zone

Cause: the version label of a request only was a preference among the replicas of one zone. The zone was chosen without it, so with one replica of a shard in a zone, the usual placement, all requests of hosts that ask that zone first went to the new version; a retry, a hedge or a host that did not know of the move yet could do the same. A version that was taken back went on like that. Ruled out: the share by hash, which was 2%. Change: while a service moves, requests of the old version are never served by replicas of the new one; the coordinator leaves out zones that have no other, and prefers zones that have a replica of the request's label.

--- a/toucanstair/toucancatalog/catalog.go
+++ b/toucanstair/toucancatalog/catalog.go
@@ -26,6 +26,7 @@
 	service *toucanpb.Service
 	routes  map[string]*toucanpb.Route
 	cells   map[place][]*toucanpb.Replica
+	settled map[place][]*toucanpb.Replica // cells without the version that a move leads to
 	holders map[toucanshard.ID][]toucanzone.Name
 }
 
@@ -65,15 +66,20 @@
 		service: s,
 		routes:  make(map[string]*toucanpb.Route, len(s.GetRoutes())),
 		cells:   make(map[place][]*toucanpb.Replica),
+		settled: make(map[place][]*toucanpb.Replica),
 		holders: make(map[toucanshard.ID][]toucanzone.Name),
 	}
 	for _, r := range s.GetRoutes() {
 		e.routes[r.GetName()] = r
 	}
+	move := c.moves[toucanservice.Name(s.GetName())]
 	for _, r := range s.GetReplicas() {
 		shard, zone := toucanshard.ID(r.GetShard()), toucanzone.Name(r.GetZone())
 		p := place{shard, zone}
 		e.cells[p] = append(e.cells[p], r)
+		if move == nil || r.GetVersion() != move.GetTo() {
+			e.settled[p] = append(e.settled[p], r)
+		}
 		if !slices.Contains(e.holders[shard], zone) {
 			e.holders[shard] = append(e.holders[shard], zone)
 		}
@@ -113,6 +119,21 @@
 	return nil
 }
 
+// Serving returns the replicas of a shard in a zone that may serve a request of
+// a version label. While a service moves, requests of the old version never go
+// to the new one, which bounds the share of the new version; requests of the
+// new version may go to the old one. The caller must not change the slice.
+func (c *Catalog) Serving(service toucanservice.Name, shard toucanshard.ID, zone toucanzone.Name, label string) []*toucanpb.Replica {
+	m := c.moves[service]
+	if m == nil || label != m.GetFrom() {
+		return c.Replicas(service, shard, zone)
+	}
+	if e := c.services[service]; e != nil {
+		return e.settled[place{shard, zone}]
+	}
+	return nil
+}
+
 // Holders returns the zones that hold replicas of a shard; the caller must
 // not change the slice.
 func (c *Catalog) Holders(service toucanservice.Name, shard toucanshard.ID) []toucanzone.Name {
--- a/toucanstair/toucancell/cell.go
+++ b/toucanstair/toucancell/cell.go
@@ -169,13 +169,21 @@
 	}
 	name, shard := toucanservice.Name(leg.GetService()), toucanshard.ID(leg.GetShard())
 	service := catalog.Service(name)
-	candidates := catalog.Replicas(name, shard, c.Zone)
-	if service == nil || len(candidates) == 0 {
+	if service == nil || len(catalog.Replicas(name, shard, c.Zone)) == 0 {
 		return nil, toucanfault.NotRun(toucanpb.Code_CODE_UNKNOWN, "shard has no replica in the zone")
 	}
+	label := leg.GetVersion()
+	if label == "" && leg.GetMap() < catalog.Revision() {
+		// The sender does not know of the move yet.
+		label = catalog.Move(name).GetFrom()
+	}
+	candidates := catalog.Serving(name, shard, c.Zone, label)
+	if len(candidates) == 0 {
+		return nil, toucanfault.NotRun(toucanpb.Code_CODE_VERSION, "no replica of the old version in the zone")
+	}
 	return &run{
 		cell: c, leg: leg, candidates: candidates,
-		want:    toucanroute.Want{Index: leg.GetIndex(), Version: leg.GetVersion()},
+		want:    toucanroute.Want{Index: leg.GetIndex(), Version: label},
 		slots:   int(max(1, service.GetSlots())),
 		results: make(chan try, attempts),
 	}, nil
--- a/toucanstair/toucancell/cell_test.go
+++ b/toucanstair/toucancell/cell_test.go
@@ -119,6 +119,37 @@
 	}
 }
 
+// Guards against requests of the old version that reach the new one by a retry
+// or a hedge, or because their sender does not know of the move yet.
+func TestOldVersionStaysOffNewOne(t *testing.T) {
+	f := start(t, 1, 2, nil)
+	rules := f.zone.catalog.Rules()
+	rules.Revision = 5
+	rules.Moves = []*toucanpb.Move{{Name: "m", Service: "s", From: "v1", To: "v2"}}
+	rules.Services[0].Replicas[1].Version = "v2"
+	f.zone.catalog = toucancatalog.New(rules)
+	f.warm(t)
+	f.targets[0].hook = func(w http.ResponseWriter, _ *http.Request) bool {
+		w.WriteHeader(http.StatusInternalServerError)
+		return true
+	}
+	for _, k := range []struct {
+		label string
+		known uint64
+	}{{"v1", 5}, {"", 4}} {
+		for range 20 {
+			l := leg(0)
+			l.Version, l.Map = k.label, k.known
+			require.NotEqual(t, toucanpb.Outcome_OUTCOME_DONE, f.Run(t.Context(), l).GetOutcome())
+		}
+	}
+	require.Zero(t, f.targets[1].ran.Load())
+	l := leg(0)
+	l.Version, l.Map = "v2", 5
+	require.Equal(t, toucanpb.Outcome_OUTCOME_DONE, f.Run(t.Context(), l).GetOutcome())
+	require.Equal(t, int64(1), f.targets[1].ran.Load())
+}
+
 // Guards against hedges and retries above 5% plus 20 when everything is slow
 // and when everything fails, and against results that count too few requests.
 func TestExtraLoadIsBounded(t *testing.T) {
--- a/toucanstair/toucanquery/leg.go
+++ b/toucanstair/toucanquery/leg.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"go.opentelemetry.io/otel/propagation"
@@ -20,31 +21,49 @@
 const maxContacts = 3
 
 // zones returns the zones to ask for a shard, best first: those known to serve
-// it at the pinned version, among them the own zone; then the other holders. The
-// code says why there is none.
+// it at the pinned version, among them those with a replica of the request's
+// version label and the own zone; then the other holders. Zones without a
+// replica that may serve the label are left out. The code says why there is none.
 func (c *Coordinator) zones(t *task, shard toucanshard.ID, serves map[toucanzone.Name][]byte) ([]toucanzone.Name, toucanpb.Code) {
 	holders := t.catalog.Holders(t.service, shard)
 	if len(holders) == 0 {
 		return nil, toucanpb.Code_CODE_VERSION
 	}
 	out := make([]toucanzone.Name, 0, len(holders))
-	add := func(served, own bool) {
+	code := toucanpb.Code_CODE_VERSION
+	add := func(served, labelled, own bool) {
 		for _, z := range holders {
-			if !t.catalog.Out(z) && has(serves[z], shard) == served && (z == c.Zone) == own {
-				out = append(out, z)
+			if has(serves[z], shard) != served || (z == c.Zone) != own {
+				continue
 			}
+			replicas := t.catalog.Serving(t.service, shard, z, t.label)
+			if len(replicas) == 0 || carries(replicas, t.label) != labelled {
+				continue
+			}
+			if t.catalog.Out(z) {
+				code = toucanpb.Code_CODE_OUT
+				continue
+			}
+			out = append(out, z)
+		}
+	}
+	for _, served := range []bool{true, false} {
+		for _, labelled := range []bool{true, false} {
+			add(served, labelled, true)
+			add(served, labelled, false)
 		}
 	}
-	add(true, true)
-	add(true, false)
-	add(false, true)
-	add(false, false)
 	if len(out) == 0 {
-		return nil, toucanpb.Code_CODE_OUT
+		return nil, code
 	}
 	return out, toucanpb.Code_CODE_UNSPECIFIED
 }
 
+// carries reports whether a replica has the version label; all have "".
+func carries(replicas []*toucanpb.Replica, label string) bool {
+	return label == "" || slices.ContainsFunc(replicas, func(r *toucanpb.Replica) bool { return r.GetVersion() == label })
+}
+
 func has(bitmap []byte, s toucanshard.ID) bool {
 	return int(s/8) < len(bitmap) && bitmap[s/8]&(1<<(s%8)) != 0
 }
@@ -107,7 +126,7 @@
 // hedged in the next zone; it is nil when the first zone's cell can hedge, when
 // there is no next zone, and without a budget.
 func (c *Coordinator) hedgeAfter(t *task, shard toucanshard.ID, zones []toucanzone.Name) (<-chan time.Time, func() bool) {
-	if c.Budget == nil || len(zones) < 2 || len(t.catalog.Replicas(t.service, shard, zones[0])) > 1 {
+	if c.Budget == nil || len(zones) < 2 || len(t.catalog.Serving(t.service, shard, zones[0], t.label)) > 1 {
 		return nil, func() bool { return true }
 	}
 	c.Budget.Sent()
--- a/toucanstair/toucanquery/query_test.go
+++ b/toucanstair/toucanquery/query_test.go
@@ -30,6 +30,7 @@
 	catalog *toucancatalog.Catalog
 	run     func(ctx context.Context, address string, leg *toucanpb.Leg) (*toucanpb.LegResult, error)
 	void    bool
+	label   string
 
 	mu    sync.Mutex
 	legs  []*toucanpb.Leg
@@ -64,7 +65,7 @@
 	return []*toucanpb.Member{{Address: string(z) + "-1"}, {Address: string(z) + "-2"}}
 }
 
-func (w *world) Version(toucanservice.Name, string) string { return "" }
+func (w *world) Version(toucanservice.Name, string) string { return w.label }
 
 func (w *world) Void(context.Context, toucanservice.Name, string, string) (bool, error) {
 	return w.void, nil
@@ -260,6 +261,29 @@
 	})
 }
 
+// Guards against a bad version that gets all requests for a shard because the
+// zone that is asked first has no other replica, and against requests of the
+// new version that never find it in another zone.
+func TestZonesFollowVersion(t *testing.T) {
+	for label, asked := range map[string]string{"v1": "costa-1", "v2": ""} {
+		w := &world{label: label}
+		c := start(w, 1, "sierra", "costa")
+		rules := w.catalog.Rules()
+		rules.Moves = []*toucanpb.Move{{Name: "m", Service: "letters", From: "v1", To: "v2"}}
+		for _, r := range rules.Services[0].Replicas {
+			r.Version = "v1"
+			if r.Zone == "sierra" {
+				r.Version = "v2"
+			}
+		}
+		w.catalog = toucancatalog.New(rules)
+		a, err := c.Search(t.Context(), "r", find(""))
+		require.NoError(t, err)
+		require.Equal(t, uint32(1), a.Coverage.Answered)
+		require.Equal(t, []string{asked}, w.asked, label)
+	}
+}
+
 // Guards against work sent to a zone out of service, a lost host or zone that
 // costs the shard, and against a second try that moves overload to another zone.
 func TestPlanSkipsOutZonesAndTriesNextHolder(t *testing.T) {
