Send a host its peers' evidence of every move

Cause: a heartbeat carries at most 8 pairs of counters, oldest change first. A host's own counters change before each heartbeat and so came after those of all others; and the moves filled the heartbeat in the order of the configuration. With 6 hosts and 3 moves, the evidence of the third move did not reach the leader until the first two had ended. Ruled out: a slow store, as the state was written at once when the evidence was there. Change: a host's own counters take up to half of the room, the counters of the peer itself are left out, and each heartbeat begins with another move and leaves room for the others.

--- a/toucanstair/toucanmove/judge.go
+++ b/toucanstair/toucanmove/judge.go
@@ -76,6 +76,7 @@
 	Log     *zap.Logger
 
 	trials atomic.Pointer[map[string]*trial] // by move name, replaced as a whole
+	turn   atomic.Uint64                     // of Offer
 
 	mu    sync.Mutex
 	flags map[string]string // reason by name of moves taken back
@@ -138,8 +139,12 @@
 
 // Offer adds the states of moves and new evidence to a heartbeat.
 func (j *Judge) Offer(to *toucanpb.Member, g *toucanpb.Gossip) {
-	pairs := evidencePairs
-	for _, m := range j.moves() {
+	pairs, moves := evidencePairs, j.moves()
+	turn := int(j.turn.Add(1) % uint64(max(1, len(moves))))
+	// Each heartbeat begins with another move and leaves room for those after
+	// it, so that no move keeps the evidence of the others back.
+	for n := range moves {
+		m := moves[(turn+n)%len(moves)]
 		t := j.trial(m.GetName())
 		if t == nil {
 			continue
@@ -147,7 +152,8 @@
 		if s := t.state(); s.GetPhase() != toucanpb.MoveState_PHASE_UNSPECIFIED && len(g.GetMoves()) < maxOffered {
 			g.Moves = append(g.Moves, s)
 		}
-		sent := t.offer(string(j.Source), to.GetId(), pairs)
+		left := len(moves) - n
+		sent := t.offer(string(j.Source), to.GetId(), (pairs+left-1)/left)
 		g.Evidence = append(g.Evidence, sent...)
 		pairs -= len(sent) / 2
 	}
--- a/toucanstair/toucanmove/trial.go
+++ b/toucanstair/toucanmove/trial.go
@@ -59,7 +59,8 @@
 
 // position is how far a peer has been sent the evidence.
 type position struct {
-	sent  uint64
+	sent  uint64 // of the evidence of others
+	own   uint64 // of this host's evidence
 	began time.Time
 }
 
@@ -257,14 +258,26 @@
 		pos = &position{began: time.Now()}
 		t.peers[peer] = pos
 	}
-	var due []*evidence
+	// This host's evidence changes before each heartbeat and would always be
+	// behind that of others, which reaches the peer on other ways, too.
+	var own, due []*evidence
 	for _, e := range t.held {
-		if e.changed > pos.sent {
+		switch {
+		case e.key.source == source && e.changed > pos.own:
+			own = append(own, e)
+		case e.key.source != source && e.key.source != peer && e.changed > pos.sent:
 			due = append(due, e)
 		}
 	}
-	slices.SortFunc(due, func(a, b *evidence) int { return cmp.Compare(a.changed, b.changed) })
-	due = due[:min(len(due), pairs)]
+	own, due = oldest(own, (pairs+1)/2), oldest(due, pairs)
+	due = due[:min(len(due), pairs-len(own))]
+	if len(own) > 0 {
+		pos.own = own[len(own)-1].changed
+	}
+	if len(due) > 0 {
+		pos.sent = due[len(due)-1].changed
+	}
+	due = append(own, due...)
 	out := make([]*toucanpb.Evidence, 0, 2*len(due))
 	for _, e := range due {
 		for version, c := range map[string]counts{m.GetFrom(): e.old, m.GetTo(): e.new} {
@@ -273,11 +286,16 @@
 				Answers: c.answers, Errors: c.errors, Slow: c.slow, Stage: t.stage,
 			})
 		}
-		pos.sent = e.changed
 	}
 	return out
 }
 
+// oldest returns at most n, those that changed first.
+func oldest(es []*evidence, n int) []*evidence {
+	slices.SortFunc(es, func(a, b *evidence) int { return cmp.Compare(a.changed, b.changed) })
+	return es[:min(len(es), n)]
+}
+
 // judge takes the sums of this tick and returns a reason to take the move
 // back, or "".
 func (t *trial) judge(source string, now time.Time) string {
