Check slow responses of a new version on one host, too

Cause: only failures were checked on single hosts; slow responses were compared in sums over hosts, which take some seconds to gather across zones. Ruled out: the threshold, which was known. Change: the check of 5 in the last 20 responses, with the same significance, applies to slow responses as to failures.

--- a/toucanstair/toucanmove/route.go
+++ b/toucanstair/toucanmove/route.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// fastFailures in the last fastResponses of the new version start the
-	// check on one host.
+	// fastFailures failures or slow responses in the last fastResponses of the
+	// new version start the check on one host.
 	fastFailures  = 5
 	fastResponses = 20
 
@@ -47,8 +47,8 @@
 // recent is a response of the new version, with the old version's counters
 // from just before it.
 type recent struct {
-	fail bool
-	old  counts
+	fail, slow bool
+	old        counts
 }
 
 // route holds what this host observed on one route.
@@ -58,6 +58,7 @@
 	last      [fastResponses]recent
 	filled    int // responses of the new version, of which the last are in last
 	failed    int // failures in last
+	slowed    int // slow responses in last
 	hist      [2][buckets]uint32
 	held      [2]uint32
 	rotated   time.Time
@@ -68,7 +69,7 @@
 func (r *route) reset() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.seen, r.filled, r.failed = pair{}, 0, 0
+	r.seen, r.filled, r.failed, r.slowed = pair{}, 0, 0, 0
 }
 
 func (r *route) pair() pair {
@@ -82,53 +83,69 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c := &r.seen.old
+	slow := !fail && r.threshold > 0 && took > r.threshold
 	if isNew {
 		c = &r.seen.new
-		at := &r.last[r.filled%fastResponses]
-		if r.filled >= fastResponses && at.fail {
-			r.failed--
-		}
-		if fail {
-			r.failed++
-		}
-		*at = recent{fail, r.seen.old}
-		r.filled++
+		r.remember(recent{fail, slow, r.seen.old})
 	}
 	c.answers++
 	switch {
 	case fail:
 		c.errors++
-	case r.threshold > 0 && took > r.threshold:
+	case slow:
 		c.slow++
 	}
 	if !isNew && !fail {
 		r.hist[0][bucket(took)]++
 		r.held[0]++
 	}
-	// Checking at new failures only keeps overload from costing a test for each
-	// response.
-	if isNew && fail {
-		return r.fast()
+	// Checking at new failures and slow responses only keeps overload from
+	// costing a test for each response.
+	switch {
+	case isNew && fail:
+		return r.fast("failed", r.failed, func(c counts) uint64 { return c.errors })
+	case isNew && slow:
+		return r.fast("were slow", r.slowed, func(c counts) uint64 { return c.slow })
 	}
 	return ""
 }
 
+// remember adds a response of the new version to the last ones.
+func (r *route) remember(n recent) {
+	at := &r.last[r.filled%fastResponses]
+	if r.filled >= fastResponses {
+		r.failed -= count(at.fail)
+		r.slowed -= count(at.slow)
+	}
+	r.failed += count(n.fail)
+	r.slowed += count(n.slow)
+	*at = n
+	r.filled++
+}
+
+func count(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // fast compares the last responses of the new version with those of the old
 // version since the first of them. On a host with a bad network both fail.
-func (r *route) fast() string {
-	if r.failed < fastFailures {
+func (r *route) fast(what string, bad int, of func(counts) uint64) string {
+	if bad < fastFailures {
 		return ""
 	}
-	n, fails := min(r.filled, fastResponses), uint64(r.failed)
+	n, fails := min(r.filled, fastResponses), uint64(bad)
 	first := r.last[0]
 	if r.filled > fastResponses {
 		first = r.last[r.filled%fastResponses]
 	}
 	old := r.seen.old.minus(first.old)
-	if chance(uint64(n), fails, old.answers, old.errors) > byChance {
+	if chance(uint64(n), fails, old.answers, of(old)) > byChance {
 		return ""
 	}
-	return fmt.Sprintf("%d of the last %d responses failed, %d of %d of the old version", fails, n, old.errors, old.answers)
+	return fmt.Sprintf("%d of the last %d responses %s, %d of %d of the old version", fails, n, what, of(old), old.answers)
 }
 
 // measure renews the threshold of slow responses from the old version's median.
