Record cold starts, faults and open connections in the ledger

The tests of cold starts need the time of the first sign of one and of the legs that met another one then; those of moves need the time at which a fault first showed.

--- a/core/toucanspec/ledger.go
+++ b/core/toucanspec/ledger.go
@@ -27,6 +27,8 @@
 	Opened      uint64 `json:"opened"`      // connections accepted
 	Unopened    uint64 `json:"unopened"`    // connections closed above the limit
 	Connections int    `json:"connections"` // highest at once
+	Open        int    `json:"open"`        // connections at present
+	ColdOpen    int    `json:"coldopen"`    // connections at once when one was opened in cold start
 
 	Runs     map[string]uint64 `json:"runs"` // started runs by key
 	Versions map[string]uint64 `json:"versions"`
@@ -34,8 +36,16 @@
 	Indexes  map[uint64]uint64 `json:"indexes"`
 
 	Drained *Duration `json:"drained,omitempty"` // when draining began
-	All     Span      `json:"all"`
-	After   Span      `json:"after"` // requests after draining began
+	// Times of the last cold start that a change of behaviour began: its begin,
+	// the first response that showed it, and legs that arrived while another
+	// one was held.
+	Chilled *Duration `json:"chilled,omitempty"`
+	Signed  *Duration `json:"signed,omitempty"`
+	Crowded Span      `json:"crowded"`
+
+	Faults Span `json:"faults"` // legs that met the fault of a bad version; slow ones in cold start do not show it
+	All    Span `json:"all"`
+	After  Span `json:"after"` // requests after draining began
 }
 
 // Span counts requests with the times of the first and the last.
--- a/toucantarget/toucanstandin/handler.go
+++ b/toucantarget/toucanstandin/handler.go
@@ -241,7 +241,9 @@
 	now := time.Now()
 	h := w.Header()
 	h.Set("Toucan-Boot", t.boot())
-	h.Set("Toucan-State", t.state(now))
+	state := t.state(now)
+	t.sign(now, state)
+	h.Set("Toucan-State", state)
 	h.Set("Toucan-Versions", list(t.indexes(now)))
 	h.Set("Toucan-Load", strconv.Itoa(t.record.Held))
 }
@@ -250,6 +252,7 @@
 	s := t.reported()
 	t.mu.Lock()
 	boot := t.boot()
+	t.sign(time.Now(), s.state)
 	t.mu.Unlock()
 	h := w.Header()
 	h.Set("Toucan-Boot", boot)
--- a/toucantarget/toucanstandin/listener.go
+++ b/toucantarget/toucanstandin/listener.go
@@ -70,7 +70,11 @@
 	}
 	t.open++
 	t.record.Opened++
+	t.record.Open = t.open
 	t.record.Connections = max(t.record.Connections, t.open)
+	if t.cold(time.Now()) {
+		t.record.ColdOpen = max(t.record.ColdOpen, t.open)
+	}
 	return true, time.Duration(t.spec.Connect)
 }
 
@@ -78,4 +82,5 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.open--
+	t.record.Open = t.open
 }
--- a/toucantarget/toucanstandin/target.go
+++ b/toucantarget/toucanstandin/target.go
@@ -142,6 +142,8 @@
 	}
 	if action.Restart || action.Chill {
 		t.booted, t.warming, t.warm = now, 0, false
+		at := t.at(now)
+		t.record.Chilled, t.record.Signed, t.record.Crowded = &at, nil, toucanspec.Span{}
 		if spec.Warm.Count == 0 && spec.Warm.Time == 0 {
 			spec.Warm.Count = coldCount
 		}
@@ -189,6 +191,9 @@
 	r.Peak = max(r.Peak, r.Held)
 	if cold {
 		r.PeakCold = max(r.PeakCold, r.Held)
+		if r.Held > 1 {
+			r.Crowded.Add(at)
+		}
 	}
 	r.Routes[q.GetRoute()]++
 	r.Versions[s.Version]++
@@ -250,6 +255,9 @@
 		(s.Bad.Route == "" || s.Bad.Route == l.query.GetRoute())
 	if bad {
 		l.fail = fail < s.Bad.Fail
+		if l.fail || s.Bad.Slow > 0 && !cold {
+			t.record.Faults.Add(t.at(time.Now()))
+		}
 		if s.Bad.Slow > 0 {
 			factor *= s.Bad.Slow
 		}
@@ -320,6 +328,17 @@
 	return out
 }
 
+// sign records the first response that shows a cold start, by its state or by
+// a new boot id.
+func (t *Target) sign(now time.Time, state string) {
+	r := &t.record
+	if r.Chilled == nil || r.Signed != nil || state != "cold" && t.boots == 1 {
+		return
+	}
+	at := t.at(now)
+	r.Signed = &at
+}
+
 func (t *Target) boot() string { return fmt.Sprintf("%s-%016x-%d", t.spec.ID, t.seed, t.boots) }
 
 func (t *Target) at(now time.Time) toucanspec.Duration { return toucanspec.Duration(now.Sub(t.began)) }
