Read the host list only while a member is suspected

Two watchers in each zone read it every 4 s: 35 KB/s for each at 3,900 hosts by calculation. Their readings removed nobody, because only voters of a silent member remove it and these read the list themselves. Rack losses of 16, 19 and 32 of 96 members settle in 34 to 35 s, as before (BenchmarkLoss).

--- a/toucanstair/toucanmember/loop.go
+++ b/toucanstair/toucanmember/loop.go
@@ -88,7 +88,8 @@
 	if m.isDue(&m.due.reread, now, every) {
 		m.background(ctx, "reread", func(ctx context.Context) { _, _, _ = m.read(ctx) })
 	}
-	if (watcher || needy) && m.isDue(&m.due.hosts, now, m.set.Reread) {
+	// The list matters for removals only, and has 140 KB at 3,900 hosts.
+	if needy && m.isDue(&m.due.hosts, now, m.set.Reread) {
 		m.background(ctx, "hosts", m.readHosts)
 	}
 	if m.isDue(&m.due.list, now, idleReread) && (watcher || !joined) {
