--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 TOOLS    := $(CURDIR)/.tools
 BIN      := $(CURDIR)/bin
 
-.PHONY: build demo test tools format lint unit process generate
+.PHONY: build demo test tools format lint unit process generate slopes bench
 
 build:
 	@mkdir -p $(BIN)
@@ -37,3 +37,14 @@
 generate:
 	protoc -I core/toucanpb --go_out=core/toucanpb --go_opt=paths=source_relative \
 		--go-grpc_out=core/toucanpb --go-grpc_opt=paths=source_relative core/toucanpb/toucan.proto
+
+# Measurements behind docs/CAPACITY.md; takes some minutes.
+slopes:
+	cd toucanstair && go test ./toucanmember -run '^$$' -bench 'Zone|Loss|Relay|Cut|View' -benchtime 1x
+	cd toucanstair && go test ./toucanconfig -run '^$$' -bench Accept -benchtime 5x
+	cd toucanstair && go test ./toucancell -run '^$$' -bench 'Direct|Targets|ThroughPeer|Fan' -benchtime 20000x
+
+# Measurements behind docs/MEASUREMENTS.md: the policy against the baseline without it.
+bench: build
+	$(BIN)/toucanload bench --size plumas --bin $(BIN)
+	$(BIN)/toucanload bench --size kunene --bin $(BIN)
--- a/integration/bed_test.go
+++ b/integration/bed_test.go
@@ -52,9 +52,7 @@
 func newBed(t *testing.T) *bed {
 	t.Helper()
 	bin := os.Getenv("TOUCAN_BIN")
-	if bin == "" {
-		t.Skip("TOUCAN_BIN is not set; make process sets it")
-	}
+	require.NotEmpty(t, bin, "TOUCAN_BIN names the directory of the programs; make process sets it")
 	seed := uint64(defaultSeed)
 	if text := os.Getenv("TOUCAN_SEED"); text != "" {
 		var err error
