--- a/toucanstair/toucanquery/leg.go
+++ b/toucanstair/toucanquery/leg.go
@@ -91,8 +91,13 @@
 		})
 	}
 	begin := time.Now()
-	slow, stop := c.hedgeAfter(t, shard, zones)
-	defer stop()
+	var slow <-chan time.Time
+	if c.mayHedge(t, shard, zones) {
+		c.Budget.Sent()
+		timer := time.NewTimer(c.Budget.Delay(t.service))
+		defer timer.Stop()
+		slow = timer.C
+	}
 	launch(false)
 	var first ending
 	for {
@@ -122,16 +127,10 @@
 	}
 }
 
-// hedgeAfter returns a channel that tells when a leg is slow enough to be
-// hedged in the next zone; it is nil when the first zone's cell can hedge, when
-// there is no next zone, and without a budget.
-func (c *Coordinator) hedgeAfter(t *task, shard toucanshard.ID, zones []toucanzone.Name) (<-chan time.Time, func() bool) {
-	if c.Budget == nil || len(zones) < 2 || len(t.catalog.Serving(t.service, shard, zones[0], t.label)) > 1 {
-		return nil, func() bool { return true }
-	}
-	c.Budget.Sent()
-	timer := time.NewTimer(c.Budget.Delay(t.service))
-	return timer.C, timer.Stop
+// mayHedge reports whether a slow leg is hedged in the next zone: there is one,
+// and the first zone's cell has no other replica to hedge with.
+func (c *Coordinator) mayHedge(t *task, shard toucanshard.ID, zones []toucanzone.Name) bool {
+	return c.Budget != nil && len(zones) > 1 && len(t.catalog.Serving(t.service, shard, zones[0], t.label)) <= 1
 }
 
 func (c *Coordinator) learn(s toucanservice.Name, took time.Duration) {
@@ -182,8 +181,7 @@
 	}
 }
 
-// runZone runs a leg in a zone and reports it to the judge. It returns a result
-// in every case.
+// runZone runs a leg in a zone and returns a result in every case.
 func (c *Coordinator) runZone(ctx context.Context, z toucanzone.Name, leg *toucanpb.Leg) (result *toucanpb.LegResult) {
 	if c.Drainer != nil {
 		if !c.Drainer.BeginLeg() {
