Test with real processes that leaving targets get no new work

Failures: draining said by responses while health says ready, lags 4 s or is true; draining that only health says, 3 s late or at once, to targets without requests; removal from the configuration. The bound is 5 s by the ledger, and all callers' answers stay full.

--- /dev/null
+++ b/integration/leave_test.go
@@ -0,0 +1,174 @@
+package integration
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"toucanstair.example/core/toucandeploy"
+	"toucanstair.example/core/toucanpb"
+)
+
+// leaveRate leaves room for the load of a leaving replica at the others.
+const leaveRate = 60
+
+// leaving returns one replica of each shard, so that another one can go on.
+func (b *bed) leaving() []string {
+	var out []string
+	for _, id := range b.ids("") {
+		if id[len(id)-1] == 'a' {
+			out = append(out, id)
+		}
+	}
+	require.NotEmpty(b.t, out)
+	return out
+}
+
+// searchesOf is searches with the requests to one service only.
+func (b *bed) searchesOf(service int) func(*rand.Rand) (*toucandeploy.Host, *toucanpb.Query) {
+	s := b.Plan.Services[service]
+	return func(r *rand.Rand) (*toucandeploy.Host, *toucanpb.Query) {
+		return b.Hosts[r.IntN(len(b.Hosts))], &toucanpb.Query{
+			Service: string(s.Name), Route: s.Routes[0].Name, Query: words, Limit: allItems, Timeout: "1s",
+		}
+	}
+}
+
+// checkLeft checks that replicas that said that they leave got nothing from
+// leaveTime on.
+func (b *bed) checkLeft(ids []string) {
+	b.t.Helper()
+	ledger := b.ledger()
+	for _, id := range ids {
+		r := ledger[id]
+		require.NotNil(b.t, r.Drained, id)
+		if r.After.Count > 0 {
+			last := time.Duration(r.After.Last - *r.Drained)
+			if last >= leaveTime {
+				b.t.Errorf("%s got %d legs after it began to drain, the last after %v", id, r.After.Count, last)
+			}
+		}
+		require.Zero(b.t, r.Held, "legs in flight at %s", id)
+	}
+	require.False(b.t, b.t.Failed(), "leaving targets got new work")
+}
+
+// checkFull checks that all requests that began in an interval were answered
+// in full.
+func (b *bed) checkFull(all []request, from, to time.Time) {
+	b.t.Helper()
+	n, partial := 0, 0
+	for _, r := range all {
+		if r.Began.Before(from) || r.Began.After(to) {
+			continue
+		}
+		n++
+		require.NoError(b.t, r.Err, "request to %s", r.Host.Name)
+		c := r.Answer.GetCoverage()
+		if c.GetAnswered() < c.GetAsked() {
+			if partial++; partial <= 5 {
+				b.t.Errorf("%v after the begin: %s answered %v", r.Began.Sub(from), r.Host.Name, c)
+			}
+		}
+	}
+	require.Positive(b.t, n, "the test must see requests")
+	require.Zero(b.t, partial, "of %d requests were not answered in full, although another replica of each shard stays", n)
+}
+
+// Guards against leaving targets that get new work because their health
+// endpoint lags or misleads: one replica of each shard drains under load and
+// says so on its responses, while health says ready, says so late, or tells
+// the truth.
+func TestPromise09DrainingByHeader(t *testing.T) {
+	b := newBed(t)
+	b.startCovered()
+	l := b.drive(leaveRate, b.searches(b.Hosts, words))
+	require.True(t, b.pause(3*time.Second))
+	ids := b.leaving()
+	began := time.Now()
+	for i, id := range ids {
+		health := []map[string]any{{"state": "ready"}, {"lag": "4s"}, {}}[i%3]
+		b.behave(id, map[string]any{"draining": true, "health": health})
+	}
+	require.True(t, b.pause(12*time.Second))
+	ended := time.Now()
+	all := l.finish()
+	t.Logf("ends %v", tally(all))
+	b.checkLeft(ids)
+	b.checkFull(all, began, ended)
+	b.stopHosts()
+}
+
+// Guards against leaving targets that get new work because no response said
+// that they leave: the replicas of a service without traffic drain, which only
+// health says, in some of them 3 s late; the traffic begins 5 s later.
+func TestPromise09DrainingByHealth(t *testing.T) {
+	b := newBed(t)
+	b.startCovered()
+	const busy, idle = 0, 1
+	l := b.drive(leaveRate/2, b.searchesOf(busy))
+	// The hosts' own questions at the start have to be over.
+	require.True(t, b.pause(2*time.Second))
+	var ids []string
+	for _, id := range b.leaving() {
+		if id[:5] == string(b.Plan.Services[idle].Name)[:5] {
+			ids = append(ids, id)
+		}
+	}
+	for i, id := range ids {
+		health := []map[string]any{{"lag": "3s"}, {}}[i%2]
+		b.behave(id, map[string]any{"draining": true, "health": health})
+	}
+	require.True(t, b.pause(leaveTime))
+	began := time.Now()
+	idleLoad := b.drive(leaveRate/2, b.searchesOf(idle))
+	require.True(t, b.pause(5*time.Second))
+	ended := time.Now()
+	all := append(l.finish(), idleLoad.finish()...)
+	t.Logf("ends %v", tally(all))
+	for _, id := range ids {
+		require.Zero(t, b.ledger()[id].After.Count, "%s got new work", id)
+	}
+	b.checkLeft(ids)
+	b.checkFull(all, began, ended)
+	b.stopHosts()
+}
+
+// Guards against targets that get work after the configuration dropped them,
+// and against legs in flight that are cut off then: one replica of each shard
+// is removed under load with work times of 50 ms.
+func TestPromise09RemovedFromConfiguration(t *testing.T) {
+	b := newBed(t)
+	b.slow(50 * time.Millisecond)
+	folder := &rules{bed: b, left: map[string]bool{}}
+	b.Plan.Rules = folder
+	b.startCovered()
+	l := b.drive(leaveRate/2, b.searches(b.Hosts, words))
+	// Slow start has to be over, because a cold replica takes no hedges.
+	require.True(t, b.pause(5*time.Second))
+	ids := b.leaving()
+	for _, id := range ids {
+		folder.left[id] = true
+	}
+	before := b.ledger()
+	began := time.Now()
+	require.NoError(t, b.Apply(b.ctx))
+	applied := time.Now()
+	require.True(t, b.pause(leaveTime+3*time.Second))
+	ended := time.Now()
+	all := l.finish()
+	t.Logf("ends %v", tally(all))
+	for id, r := range b.timedLedger() {
+		if !folder.left[id] {
+			continue
+		}
+		require.Positive(t, r.All.Count, id)
+		require.Less(t, r.at(r.All.Last).Sub(applied), leaveTime, "%s got work after it was removed", id)
+		require.Zero(t, r.Held, id)
+		require.Equal(t, before[id].Failed, r.Failed, id)
+	}
+	b.checkFull(all, began, ended)
+	b.stopHosts()
+}
--- /dev/null
+++ b/integration/targets_test.go
@@ -0,0 +1,171 @@
+package integration
+
+import (
+	"encoding/json"
+	"fmt"
+	"io/fs"
+	"strings"
+	"testing/fstest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"toucanstair.example/core/toucanpb"
+	"toucanstair.example/core/toucanspec"
+	"toucanstair.example/core/toucanzone"
+)
+
+const (
+	// legTimeout bounds the queries of the tests of targets, so that a leg in
+	// flight ends within it and the 250 ms that a host waits for a target to
+	// close the connection.
+	legTimeout = 500 * time.Millisecond
+	// noticeTime is the time within which every owner of a slot has seen a cold
+	// sign that another owner got: the legs in flight end, and a lost message is
+	// repeated with a heartbeat, every 500 ms.
+	noticeTime = legTimeout + 250*time.Millisecond + 500*time.Millisecond
+	// leaveTime is the bound after which a leaving target gets no new work, and
+	// a bad version none after its faults show.
+	leaveTime = 5 * time.Second
+)
+
+// slow sets the work time of all services, so that a moderate rate keeps all
+// slots in use on any machine.
+func (b *bed) slow(median time.Duration) {
+	for i := range b.Plan.Services {
+		b.Plan.Services[i].Behaviour.Work.Median = toucanspec.Duration(median)
+	}
+}
+
+// rules generates the configuration folder, so that a test can leave out
+// replicas, label them and add moves.
+type rules struct {
+	*bed
+	left  map[string]bool        // ids of replicas that are left out
+	label func(id string) string // version label; nil labels all v1
+	moves func() []string        // flow mappings; nil for none
+}
+
+// Open implements fs.FS.
+func (r *rules) Open(name string) (fs.File, error) {
+	var zones, services, moves strings.Builder
+	v := r.Values()
+	zones.WriteString("zones:\n")
+	for _, z := range v.Zones {
+		fmt.Fprintf(&zones, "  - {name: %s, region: %s, seeds: [\"%s\"]}\n", z.Name, z.Region, strings.Join(z.Seeds, `", "`))
+	}
+	services.WriteString("services:\n")
+	for _, s := range v.Services {
+		fmt.Fprintf(&services, "  - name: %s\n    shards: %d\n    age: %d\n    slots: %d\n    connections: %d\n    connect: %v\n    routes:\n",
+			s.Name, s.Shards, s.Age, s.Slots, s.Connections, s.Connect)
+		for _, o := range s.Routes {
+			fmt.Fprintf(&services, "      - {name: %s, once: %v, timeout: %v}\n", o.Name, o.Once, o.Timeout)
+		}
+		services.WriteString("    replicas:\n")
+		for _, a := range s.Replicas {
+			if r.left[a.ID] {
+				continue
+			}
+			version := a.Version
+			if r.label != nil {
+				version = r.label(a.ID)
+			}
+			fmt.Fprintf(&services, "      - {id: %s, shard: %d, zone: %s, address: %q, version: %s}\n", a.ID, a.Shard, a.Zone, a.Address, version)
+		}
+	}
+	files := fstest.MapFS{
+		"10-zones.yaml":    {Data: []byte(zones.String())},
+		"20-services.yaml": {Data: []byte(services.String())},
+	}
+	if r.moves != nil {
+		moves.WriteString("moves:\n")
+		for _, m := range r.moves() {
+			moves.WriteString("  - " + m + "\n")
+		}
+		files["30-moves.yaml"] = &fstest.MapFile{Data: []byte(moves.String())}
+	}
+	return files.Open(name)
+}
+
+// ids returns the ids of the replicas in a zone, or in all zones for "".
+func (b *bed) ids(zone toucanzone.Name) []string {
+	var out []string
+	for _, t := range b.Targets {
+		if zone == "" || t.Zone == zone {
+			for id := range t.Replicas {
+				out = append(out, id)
+			}
+		}
+	}
+	sortShuffle(out, b.random)
+	return out
+}
+
+// behaveZone changes all replicas of a zone in one request.
+func (b *bed) behaveZone(zone toucanzone.Name, change any) {
+	b.t.Helper()
+	require.NoError(b.t, b.Put(b.ctx, b.targetsOf(zone).Admin, "/admin/replica/*", change))
+}
+
+// timed is a record with the time at which its process started, so that
+// records of several processes compare.
+type timed struct {
+	toucanspec.Record
+	epoch time.Time
+}
+
+// at returns the wall time of a time in the record.
+func (r timed) at(d toucanspec.Duration) time.Time { return r.epoch.Add(time.Duration(d)) }
+
+// timedLedger returns the records of all running targets. The times err by at
+// most the duration of one request to the target process.
+func (b *bed) timedLedger() map[string]timed {
+	b.t.Helper()
+	out := map[string]timed{}
+	for _, t := range b.Targets {
+		select {
+		case <-t.Process.Exited():
+			continue
+		default:
+		}
+		body, err := b.Get(b.ctx, t.Admin, "/admin/ledger")
+		require.NoError(b.t, err)
+		now := time.Now()
+		var l toucanspec.Ledger
+		require.NoError(b.t, json.Unmarshal(body, &l))
+		for id, r := range l.Replicas {
+			out[id] = timed{r, now.Add(-time.Duration(l.Now))}
+		}
+	}
+	return out
+}
+
+// checkSlots checks that no target held more legs than its slots or more
+// connections than its limit, at any time.
+func (b *bed) checkSlots(ledger map[string]toucanspec.Record) {
+	b.t.Helper()
+	for id, r := range ledger {
+		require.Zero(b.t, r.Overloads, "legs above the %d slots of %s", r.Slots, id)
+		require.LessOrEqual(b.t, r.Peak, r.Slots, id)
+		require.Zero(b.t, r.Unopened, "connections above the limit of %s", id)
+	}
+}
+
+// checkUsed checks that a test put targets under full load: so many replicas
+// had all slots in use.
+func (b *bed) checkUsed(ledger map[string]toucanspec.Record, least int) {
+	b.t.Helper()
+	full := 0
+	for _, r := range ledger {
+		if r.Peak == r.Slots {
+			full++
+		}
+	}
+	require.GreaterOrEqual(b.t, full, least, "the test must see all slots of targets in use")
+}
+
+// short gives a query the timeout legTimeout.
+func (b *bed) short(q *toucanpb.Query) *toucanpb.Query {
+	q.Timeout = legTimeout.String()
+	return q
+}
