--- a/integration/bed_test.go
+++ b/integration/bed_test.go
@@ -42,6 +42,7 @@
 	sources map[string]string           // source IP by host name
 	links   map[string]map[string]*pipe // peer proxies by source and destination host name
 	stores  map[toucanzone.Name]*pipe   // store proxy of each zone
+	apart   map[string]*pipe            // store proxies of hosts that a test names with nil before the start
 	targets map[string]*pipe            // target proxies by replica; empty unless asked for
 	proxied func(replica string) bool   // nil proxies no target
 	splits  map[string]*splitter        // by destination host name
@@ -80,7 +81,7 @@
 		t:          t, ctx: ctx, seed: seed, random: rand.New(rand.NewPCG(seed, 0)),
 		network: newNetwork(t),
 		sources: map[string]string{}, links: map[string]map[string]*pipe{},
-		stores: map[toucanzone.Name]*pipe{}, targets: map[string]*pipe{}, splits: map[string]*splitter{},
+		stores: map[toucanzone.Name]*pipe{}, apart: map[string]*pipe{}, targets: map[string]*pipe{}, splits: map[string]*splitter{},
 	}
 	t.Cleanup(func() {
 		if t.Failed() {
@@ -118,7 +119,15 @@
 			b.splits[h.Name] = newSplitter(b.t)
 		}
 		h.Advertise = b.splits[h.Name].listener.Addr().String()
-		return []string{"--source", b.sources[h.Name], "--store", b.stores[h.Zone].address()}
+		store := b.stores[h.Zone]
+		if own, ok := b.apart[h.Name]; ok {
+			if own == nil {
+				own = b.network.pipe("store-"+h.Name, b.Store.Address)
+				b.apart[h.Name] = own
+			}
+			store = own
+		}
+		return []string{"--source", b.sources[h.Name], "--store", store.address()}
 	}
 	var hosts []*toucandeploy.Host
 	for zi, z := range b.Plan.Zones {
