Keep the slots of a warm target whose leader is gone

Cause: the owner of slot 1 closed its slot when it did not hear the first owner within the lease. While the store is down the view keeps a host that has left or died, so its replicas had no open slot for the whole outage, although the zone's other host owns one. Ruled out: the votes, which need the store. Change: such an owner keeps its slot while responses, or health polls of its own, at most 2.5 s old show the target under the same boot id and without a cold sign. After a cold sign, and after a pause of the host, it is closed until the leader is heard or a poll vouches for the target.

--- a/toucanstair/toucancell/poll.go
+++ b/toucanstair/toucancell/poll.go
@@ -58,7 +58,7 @@
 			if c.connections(id, s) > 0 {
 				owned[r.GetAddress()] = true
 			}
-			if !c.leads(id) || !c.silent(id) {
+			if !c.leads(id) && !c.Table.IsUnled(id) || !c.silent(id) {
 				continue
 			}
 			group.Go(func() error {
@@ -81,7 +81,7 @@
 func (c *Cell) poll(ctx context.Context, id toucanreplica.ID, r *toucanpb.Replica, s *toucanpb.Service) {
 	ctx, cancel := context.WithTimeout(ctx, pollTime)
 	defer cancel()
-	if c.Table.Cold(id) && !c.Table.Draining(id) {
+	if c.leads(id) && c.Table.Cold(id) && !c.Table.Draining(id) {
 		wait, done := context.WithTimeout(ctx, pollWait)
 		defer done()
 		permit, err := c.Table.Acquire(wait, id)
--- a/toucanstair/toucanslot/opening.go
+++ b/toucanstair/toucanslot/opening.go
@@ -15,9 +15,18 @@
 
 // Cold start. The owner of slot 0 leads: it counts responses in time, opens
 // one slot after another and tells the owners of the other slots. Those count
-// as closed until the leader was heard within the lease. An owner that sees a
-// cold sign closes its own slot, and repeats the sign to the leader until the
-// leader answers with an opening for the same boot.
+// as closed until the leader has opened them. An owner that sees a cold sign
+// closes its own slot, and repeats the sign to the leader until the leader
+// answers with an opening for the same boot.
+//
+// An owner that does not hear the leader any more, because it has died or left
+// while the store is down, keeps its slot as long as responses or its own health
+// polls show the target without a cold sign. Otherwise a replica would be
+// lost with its leader for the time of the outage.
+
+// vouchTime is how long a response shows that a target has not turned cold; it
+// covers two health polls.
+const vouchTime = 2500 * time.Millisecond
 
 // open returns how many slots may be used now. A host that becomes the leader
 // keeps the count that it heard within the lease and otherwise starts at 1.
@@ -28,12 +37,22 @@
 		g.open, g.good = 1, 0
 	}
 	g.leads = leads
-	if leads || trusted {
+	if leads || trusted || time.Since(g.noted) < vouchTime {
 		return g.open
 	}
 	return 1
 }
 
+// IsUnled reports whether this host had an open slot of a replica whose leader
+// it does not hear any more; its health is then for this host to poll.
+func (t *Table) IsUnled(r toucanreplica.ID) bool {
+	p := t.part(r)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g := p.targets[r]
+	return g != nil && g.open > 1 && !t.owns(r, 0) && time.Since(g.heard) >= t.lease()
+}
+
 func (t *Table) lease() time.Duration {
 	if t.Lease > 0 {
 		return t.Lease
@@ -104,6 +123,8 @@
 	}
 	if restarted || state == "cold" {
 		t.chill(r, g, slots, restarted)
+	} else if boot != "" {
+		g.noted = time.Now()
 	}
 	t.pump(r, g, slots)
 }
--- a/toucanstair/toucanslot/table.go
+++ b/toucanstair/toucanslot/table.go
@@ -96,11 +96,12 @@
 type target struct {
 	speed    speed
 	boot     string
-	open     int  // slots open; only slot 0 when 1
-	good     int  // responses in time since the last opening
-	leads    bool // this host owned slot 0 when last looked at
-	heard    time.Time
-	source   string // host that open was heard from
+	open     int       // slots open; only slot 0 when 1
+	good     int       // responses in time since the last opening
+	leads    bool      // this host owned slot 0 when last looked at
+	heard    time.Time // last opening by the leader
+	noted    time.Time // last response without a cold sign
+	source   string    // host that open was heard from
 	sequence uint64
 	cold     *toucanpb.Opening // sign of a cold target that the leader has not confirmed
 	draining bool
--- a/toucanstair/toucanslot/table_test.go
+++ b/toucanstair/toucanslot/table_test.go
@@ -188,6 +188,32 @@
 	})
 }
 
+// Guards against a warm replica that is lost with its leader, against slots that
+// stay open without any sign that the target is warm, and against an owner
+// that goes on after a cold sign when no leader can tell it more.
+func TestOwnerKeepsSlotOfWarmTargetWithoutLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, ts := tables(3)
+		warm(ts, t, 16)
+		ts[2].Note(replica, "b1", "ready")
+		require.False(t, ts[2].IsUnled(replica))
+		for range 10 {
+			<-time.After(time.Second)
+			ts[2].NoteHealth(replica, "b1", "ready")
+			require.Equal(t, 3, ts[2].Open(replica))
+		}
+		require.True(t, ts[2].IsUnled(replica))
+		<-time.After(3 * time.Second)
+		require.Equal(t, 1, ts[2].Open(replica))
+		ts[2].NoteHealth(replica, "b1", "ready")
+		require.Equal(t, 3, ts[2].Open(replica))
+		ts[2].NoteHealth(replica, "b2", "ready")
+		require.Equal(t, 1, ts[2].Open(replica))
+		ts[2].NoteHealth(replica, "b2", "ready")
+		require.Equal(t, 1, ts[2].Open(replica))
+	})
+}
+
 // Guards against owners that send to a draining target because only the
 // leader saw its state.
 func TestLeaderTellsDraining(t *testing.T) {
