--- a/toucanstair/toucanquery/leg.go
+++ b/toucanstair/toucanquery/leg.go
@@ -113,7 +113,7 @@
 			}
 			ran := e.result.GetOutcome() != toucanpb.Outcome_OUTCOME_NOTRUN
 			if len(zones) > 0 && moves(e.code, e.result) && ctx.Err() == nil && (!ran || c.mayRepeat()) {
-				launch(ran)
+				launch(false)
 			}
 			if pending == 0 {
 				return first
@@ -206,7 +206,8 @@
 
 // runRemote asks the zone's contacts in turn. The next one is asked only if the
 // leg did not run at the one before, or if that one was lost and the leg is
-// idempotent; the repeat takes a token of the budget and is marked extra.
+// idempotent; the repeat takes a token of the budget. It is not marked extra,
+// because a cold replica must not refuse a leg that has nowhere else to go.
 func (c *Coordinator) runRemote(ctx context.Context, z toucanzone.Name, leg *toucanpb.Leg) *toucanpb.LegResult {
 	hosts := c.Contacts.Contacts(z)
 	last := toucanfault.NotRun(toucanpb.Code_CODE_CUT, "no host of zone "+string(z)+" is known")
@@ -232,8 +233,7 @@
 		case down && last.Outcome == toucanpb.Outcome_OUTCOME_NOTRUN:
 		case down && !lost && c.mayRepeat():
 			lost = true
-			leg = proto.CloneOf(leg)
-			leg.Extra = true
+			leg = proto.CloneOf(leg) // the link to the lost host may still use it
 		default:
 			return refusal(leg, last)
 		}
