--- a/toucanstair/toucancell/poll.go
+++ b/toucanstair/toucancell/poll.go
@@ -58,7 +58,7 @@
 			if c.connections(id, s) > 0 {
 				owned[r.GetAddress()] = true
 			}
-			if !c.leads(id) && !c.Table.IsUnled(id) || !c.silent(id) {
+			if !c.leads(id) && !c.Table.IsLeaderless(id) || !c.silent(id) {
 				continue
 			}
 			group.Go(func() error {
--- a/toucanstair/toucanslot/opening.go
+++ b/toucanstair/toucanslot/opening.go
@@ -43,9 +43,9 @@
 	return 1
 }
 
-// IsUnled reports whether this host had an open slot of a replica whose leader
+// IsLeaderless reports whether this host had an open slot of a replica whose leader
 // it does not hear any more; its health is then for this host to poll.
-func (t *Table) IsUnled(r toucanreplica.ID) bool {
+func (t *Table) IsLeaderless(r toucanreplica.ID) bool {
 	p := t.part(r)
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/toucanstair/toucanslot/table_test.go
+++ b/toucanstair/toucanslot/table_test.go
@@ -196,13 +196,13 @@
 		_, ts := tables(3)
 		warm(ts, t, 16)
 		ts[2].Note(replica, "b1", "ready")
-		require.False(t, ts[2].IsUnled(replica))
+		require.False(t, ts[2].IsLeaderless(replica))
 		for range 10 {
 			<-time.After(time.Second)
 			ts[2].NoteHealth(replica, "b1", "ready")
 			require.Equal(t, 3, ts[2].Open(replica))
 		}
-		require.True(t, ts[2].IsUnled(replica))
+		require.True(t, ts[2].IsLeaderless(replica))
 		<-time.After(3 * time.Second)
 		require.Equal(t, 1, ts[2].Open(replica))
 		ts[2].NoteHealth(replica, "b1", "ready")
