--- a/toucanstair/toucanmember/manager_test.go
+++ b/toucanstair/toucanmember/manager_test.go
@@ -157,7 +157,7 @@
 		r.set(func() { r.resume(name) })
 		return
 	}
-	r.set(func() { r.paused[name] = nap{time.Now(), make(chan struct{})} })
+	r.set(func() { r.paused[name] = pause{time.Now(), make(chan struct{})} })
 }
 
 func seeds(t *testing.T) []uint64 {
@@ -280,7 +280,7 @@
 // that wait for a paused host must not let it send when others have its slots.
 func TestLateAcknowledgements(t *testing.T) {
 	scenario(t, 3, func(r *trial, names []string) {
-		r.set(func() { r.lag, r.sleepy = 200*time.Millisecond, names[0] })
+		r.set(func() { r.lag, r.pauseDue = 200*time.Millisecond, names[0] })
 		require.True(r, r.run(limit, func() bool { return r.isPaused(r.procs[names[0]]) }))
 		r.run(10*time.Second, nil)
 		require.True(r, r.allOwned(), r.state())
--- a/toucanstair/toucanmember/world_test.go
+++ b/toucanstair/toucanmember/world_test.go
@@ -26,9 +26,9 @@
 	all    []*proc
 	procs  map[string]*proc // by name, which is the address too
 	cut    map[[2]string]bool
-	paused map[string]nap
+	paused map[string]pause
 	listed map[string]time.Time // last alive
-	sleepy string               // name of the process that pauses next
+	pauseDue string               // name of the process that pauses next
 	loss   float64
 	lag    time.Duration // longest delay of a message
 	down   bool          // the store
@@ -54,7 +54,7 @@
 
 func newWorld(seed uint64) *world {
 	return &world{
-		rnd: rand.New(rand.NewPCG(seed, 7)), procs: map[string]*proc{}, cut: map[[2]string]bool{}, paused: map[string]nap{},
+		rnd: rand.New(rand.NewPCG(seed, 7)), procs: map[string]*proc{}, cut: map[[2]string]bool{}, paused: map[string]pause{},
 		listed: map[string]time.Time{}, store: map[string]*toucanpb.Entry{}, lag: 5 * time.Millisecond,
 	}
 }
@@ -67,8 +67,8 @@
 		Dial: func(a string) (toucanpb.PeerClient, error) { return wire{w, name, a}, nil },
 		// The heartbeat loop asks for seeds, so a pause stops it here.
 		Seeds: func() []string {
-			w.nod(name)
-			wire{w, name, ""}.awake(name)
+			w.pauseIfDue(name)
+			wire{w, name, ""}.waitResumed(name)
 			return seeds
 		},
 	}
@@ -135,23 +135,23 @@
 	f()
 }
 
-// nap is the pause of a process.
-type nap struct {
+// pause is the pause of a process.
+type pause struct {
 	start time.Time
 	over  chan struct{}
 }
 
-// nod pauses a process that is to fall asleep while the replies to its
+// pauseIfDue pauses a process whose pause is due while the replies to its
 // heartbeats are on their way.
-func (w *world) nod(name string) {
+func (w *world) pauseIfDue(name string) {
 	w.mu.Lock()
-	sleepy := w.sleepy == name
+	due := w.pauseDue == name
 	w.mu.Unlock()
-	if !sleepy {
+	if !due {
 		return
 	}
 	<-time.After(time.Millisecond)
-	w.set(func() { w.sleepy, w.paused[name] = "", nap{time.Now(), make(chan struct{})} })
+	w.set(func() { w.pauseDue, w.paused[name] = "", pause{time.Now(), make(chan struct{})} })
 }
 
 func (w *world) resume(name string) {
@@ -167,7 +167,7 @@
 	from, to string
 }
 
-func (c wire) awake(name string) {
+func (c wire) waitResumed(name string) {
 	c.w.mu.Lock()
 	n, paused := c.w.paused[name]
 	c.w.mu.Unlock()
@@ -179,7 +179,7 @@
 // pass carries a message one way; a message to or from a paused process waits
 // for it, whatever the deadline of the call.
 func (c wire) pass(ctx context.Context, from, to string) error {
-	c.awake(from)
+	c.waitResumed(from)
 	c.w.mu.Lock()
 	delay := time.Duration(c.w.rnd.Int64N(int64(c.w.lag)))
 	lost := c.w.cut[[2]string{from, to}] || c.w.rnd.Float64() < c.w.loss
@@ -189,7 +189,7 @@
 		return toucanfault.NotRun(toucanpb.Code_CODE_DOWN, "lost")
 	}
 	<-time.After(delay)
-	c.awake(to)
+	c.waitResumed(to)
 	return nil
 }
 
