--- a/toucanstair/toucanmember/world_test.go
+++ b/toucanstair/toucanmember/world_test.go
@@ -21,22 +21,22 @@
 
 // world is a fake network, store and host list for managers in one process.
 type world struct {
-	mu     sync.Mutex
-	rnd    *rand.Rand
-	all    []*proc
-	procs  map[string]*proc // by name, which is the address too
-	cut    map[[2]string]bool
-	paused map[string]pause
-	listed map[string]time.Time // last alive
+	mu       sync.Mutex
+	rnd      *rand.Rand
+	all      []*proc
+	procs    map[string]*proc // by name, which is the address too
+	cut      map[[2]string]bool
+	paused   map[string]pause
+	listed   map[string]time.Time // last alive
 	pauseDue string               // name of the process that pauses next
-	loss   float64
-	lag    time.Duration // longest delay of a message
-	down   bool          // the store
-	noise  float64       // share of store replies that are lost after the effect
-	store  map[string]*toucanpb.Entry
-	rev    uint64
-	bytes  int // of heartbeats and replies
-	beats  int
+	loss     float64
+	lag      time.Duration // longest delay of a message
+	down     bool          // the store
+	noise    float64       // share of store replies that are lost after the effect
+	store    map[string]*toucanpb.Entry
+	rev      uint64
+	bytes    int // of heartbeats and replies
+	beats    int
 }
 
 type proc struct {
