Declare a late move at its deadline while the store is down

Cause: only a visit to the store declared a move late, and after failures the next visit is up to 6 s away. Ruled out: lost heartbeats, which are repeated each 500 ms in the test. Change: the pause after a failure ends at the deadline of the move.

--- a/toucanstair/toucanmove/run.go
+++ b/toucanstair/toucanmove/run.go
@@ -119,6 +119,10 @@
 	if err := j.settle(ctx, t, leads); err != nil {
 		v.fails++
 		v.at = time.Now().Add(min(leadEvery<<min(v.fails-1, 10), maxPause)/2 + rand.N(leadEvery))
+		// A move that is late is declared so without the store, and at once.
+		if deadline := time.Unix(t.move.Load().GetDeadline(), 0); time.Now().Before(deadline) && v.at.After(deadline) {
+			v.at = deadline
+		}
 		return
 	}
 	v.fails = 0
