Share one wait, and drop a hook and a query that nothing used

Six packages had their own wait for a time or the end of a context; core/toucantimer serves them. The zones of a leg are classed in one pass over the holders in place of eight, in the same order.

--- a/core/toucanhead/head.go
+++ b/core/toucanhead/head.go
@@ -23,6 +23,7 @@
 	"toucanstair.example/core/toucanfault"
 	"toucanstair.example/core/toucanfolder"
 	"toucanstair.example/core/toucanpb"
+	"toucanstair.example/core/toucantimer"
 )
 
 // Keys of the published configuration in the store.
@@ -273,14 +274,7 @@
 // repeat in step; it returns false when ctx ended.
 func pause(ctx context.Context, try int) bool {
 	d := firstPause << (try - 1)
-	t := time.NewTimer(d/2 + mathrand.N(d/2))
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
+	return toucantimer.Wait(ctx, d/2+mathrand.N(d/2))
 }
 
 // chain returns a new change id followed by the most recent ones of change.
--- a/integration/cold_test.go
+++ b/integration/cold_test.go
@@ -63,6 +63,19 @@
 	require.True(b.t, b.pause(heartbeats))
 }
 
+// endLoad ends the load and the hosts, checks that every target was used and
+// none above its slots, and returns the final ledger.
+func (b *bed) endLoad(l *load) map[string]toucanspec.Record {
+	b.t.Helper()
+	all := l.finish()
+	b.stopHosts()
+	ledger := b.ledger()
+	b.t.Logf("ends %v", tally(all))
+	b.checkUsed(ledger, 10)
+	b.checkSlots(ledger)
+	return ledger
+}
+
 // fullLoad drives searches with short timeouts at fullRate.
 func (b *bed) fullLoad() *load {
 	next := b.searches(b.Hosts, words)
@@ -108,13 +121,7 @@
 	b.checkSlots(b.ledger())
 	b.behaveZone(zone, map[string]any{"restart": true, "warm": toucanspec.Warm{Time: toucanspec.Duration(4 * time.Second)}})
 	require.True(t, b.pause(7*time.Second))
-	all := l.finish()
-	b.stopHosts()
-	ledger := b.ledger()
-	t.Logf("ends %v", tally(all))
-	b.checkUsed(ledger, 10)
-	b.checkSlots(ledger)
-	b.checkChilled(ledger, b.ids(zone))
+	b.checkChilled(b.endLoad(l), b.ids(zone))
 }
 
 // Guards against targets that turn cold without warning and get more than one
@@ -140,13 +147,7 @@
 		require.True(t, b.pause(time.Duration(b.random.IntN(400))*time.Millisecond))
 	}
 	require.True(t, b.pause(6*time.Second))
-	all := l.finish()
-	b.stopHosts()
-	ledger := b.ledger()
-	t.Logf("ends %v", tally(all))
-	b.checkUsed(ledger, 10)
-	b.checkSlots(ledger)
-	b.checkChilled(ledger, ids)
+	b.checkChilled(b.endLoad(l), ids)
 }
 
 // Guards against a restart of all hosts that opens every slot and connection of
@@ -181,13 +182,8 @@
 		b.untilFull(h)
 	}
 	require.True(t, b.pause(3*time.Second))
-	all := l.finish()
-	b.stopHosts()
-	ledger := b.ledger()
-	t.Logf("ends %v", tally(all))
-	b.checkUsed(ledger, 10)
+	ledger := b.endLoad(l)
 	b.checkTargets(ledger)
-	b.checkSlots(ledger)
 	for id, r := range ledger {
 		require.Zero(t, r.Falls, id)
 		require.Greater(t, r.Requests, before[id].Requests, "%s must be in use again", id)
@@ -223,13 +219,7 @@
 		b.untilFull(h)
 	}
 	require.True(t, b.pause(time.Second))
-	all := l.finish()
-	b.stopHosts()
-	ledger := b.ledger()
-	t.Logf("ends %v", tally(all))
-	b.checkUsed(ledger, 10)
-	b.checkTargets(ledger)
-	b.checkSlots(ledger)
+	b.checkTargets(b.endLoad(l))
 }
 
 // Guards against a zone cut in two halves of hosts that both use the same slots:
@@ -252,13 +242,7 @@
 		b.untilFull(h)
 	}
 	require.True(t, b.pause(3*time.Second))
-	all := l.finish()
-	b.stopHosts()
-	ledger := b.ledger()
-	t.Logf("ends %v", tally(all))
-	b.checkUsed(ledger, 10)
-	b.checkTargets(ledger)
-	b.checkSlots(ledger)
+	b.checkTargets(b.endLoad(l))
 }
 
 // Guards against a half of a zone that goes on with slots that moved to the
@@ -285,13 +269,7 @@
 		b.untilFull(h)
 	}
 	require.True(t, b.pause(2*time.Second))
-	all := l.finish()
-	b.stopHosts()
-	ledger := b.ledger()
-	t.Logf("ends %v", tally(all))
-	b.checkUsed(ledger, 10)
-	b.checkTargets(ledger)
-	b.checkSlots(ledger)
+	b.checkTargets(b.endLoad(l))
 }
 
 // Guards against a slot that is used again while the target still works on a
--- a/toucandemo/toucanshow/show.go
+++ b/toucandemo/toucanshow/show.go
@@ -11,6 +11,7 @@
 	"toucanstair.example/core/toucandeploy"
 	"toucanstair.example/core/toucanfault"
 	"toucanstair.example/core/toucanpb"
+	"toucanstair.example/core/toucantimer"
 	"toucanstair.example/core/toucanzone"
 )
 
@@ -92,7 +93,7 @@
 				err = wrong("%s answers %d of %d shards: %v", h.Name,
 					a.GetCoverage().GetAnswered(), a.GetCoverage().GetAsked(), a.GetCoverage().GetMissing())
 			}
-			if !pause(ctx) {
+			if !toucantimer.Wait(ctx, retryPause) {
 				return err
 			}
 		}
@@ -157,7 +158,7 @@
 				s.say("   %s refuses: %v (%s)", h.Name, f, toucanfault.OutcomeWord(f.Outcome))
 				break
 			}
-			if !pause(limit) {
+			if !toucantimer.Wait(limit, retryPause) {
 				return wrong("%s does not refuse: %v", h.Name, err)
 			}
 		}
@@ -208,17 +209,6 @@
 
 func (s *Show) say(format string, args ...any) { fmt.Fprintf(s.Out, format+"\n", args...) }
 
-func pause(ctx context.Context) bool {
-	timer := time.NewTimer(retryPause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func wrong(format string, args ...any) error {
 	return &toucanfault.Error{Code: toucanpb.Code_CODE_FAILED, Detail: fmt.Sprintf(format, args...)}
 }
--- a/toucanstair/toucancommand/node.go
+++ b/toucanstair/toucancommand/node.go
@@ -14,6 +14,7 @@
 	"toucanstair.example/core/toucanhost"
 	"toucanstair.example/core/toucanpb"
 	"toucanstair.example/core/toucanstorage"
+	"toucanstair.example/core/toucantimer"
 	"toucanstair.example/core/toucanzone"
 	"toucanstair.example/toucanstair/toucancatalog"
 	"toucanstair.example/toucanstair/toucancell"
@@ -176,13 +177,12 @@
 	}
 }
 
+// isWatcher reports whether this host watches the store for its zone. A host
+// that is not a member yet does not; its first read does not depend on this.
 func (n *node) isWatcher() bool {
 	ranked := n.members.View().Rank("watch", string(n.zone))
-	self := n.members.Self().GetId()
-	if !slices.ContainsFunc(ranked, func(m *toucanpb.Member) bool { return m.GetId() == self }) {
-		return false // not a member yet; the first read at the start does not depend on this
-	}
 	ranked = ranked[:min(storeWatchers, len(ranked))]
+	self := n.members.Self().GetId()
 	return slices.ContainsFunc(ranked, func(m *toucanpb.Member) bool { return m.GetId() == self })
 }
 
@@ -253,14 +253,10 @@
 }
 
 func wait(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
+	if toucantimer.Wait(ctx, d) {
 		return nil
-	case <-ctx.Done():
-		return toucanfault.Unknown(toucanpb.Code_CODE_STOPPING, "interrupted while handing slots over").Because(ctx.Err())
 	}
+	return toucanfault.Unknown(toucanpb.Code_CODE_STOPPING, "interrupted while handing slots over").Because(ctx.Err())
 }
 
 // counted counts the legs that run for peers, so that a shutdown waits for them.
--- a/toucanstair/toucanconfig/run.go
+++ b/toucanstair/toucanconfig/run.go
@@ -15,6 +15,7 @@
 	"toucanstair.example/core/toucanfolder"
 	"toucanstair.example/core/toucanhead"
 	"toucanstair.example/core/toucanpb"
+	"toucanstair.example/core/toucantimer"
 )
 
 const (
@@ -192,22 +193,13 @@
 	return jitter(min(firstBackoff<<min(fails-1, 10), maxBackoff))
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // watch passes on the heads that long polls return while this host watches.
 func (k *Keeper) watch(ctx context.Context, heads chan *toucanpb.Head) {
 	var after uint64
 	fails := 0
 	for ctx.Err() == nil {
 		if k.Store == nil || !k.watching() {
-			pause(ctx, turnEvery)
+			toucantimer.Wait(ctx, turnEvery)
 			continue
 		}
 		call, cancel := context.WithTimeout(ctx, watchTimeout)
@@ -218,13 +210,13 @@
 			fails++
 			// A store that was restored may number its changes from the start.
 			after = 0
-			pause(ctx, backoff(fails))
+			toucantimer.Wait(ctx, backoff(fails))
 			continue
 		}
 		fails = 0
 		if to <= after && time.Since(began) < turnEvery {
 			// A store that answers at once without news must not cause a busy loop.
-			pause(ctx, jitter(turnEvery))
+			toucantimer.Wait(ctx, jitter(turnEvery))
 		}
 		after = to
 		k.forward(entries, heads)
--- a/toucanstair/toucanmember/beat.go
+++ b/toucanstair/toucanmember/beat.go
@@ -79,7 +79,7 @@
 		m.set.Log.Debug("heartbeat failed", zap.String("to", to.GetId()), zap.Error(err))
 		return nil
 	}
-	m.hear(r.GetSender(), r.GetView(), r.GetReleased(), r.GetLeaving())
+	m.hear(r.GetSender(), r.GetView(), r.GetReleased())
 	m.absorb(r.GetSender(), r.GetGossip())
 	m.noteLater(r.GetSender(), r.GetView())
 	return r
@@ -104,7 +104,7 @@
 	if from.GetId() == "" || from.GetName() == "" || from.GetZone() == "" {
 		return nil, toucanfault.NotRun(toucanpb.Code_CODE_INVALID, "heartbeat without a sender")
 	}
-	m.hear(from, r.GetView(), r.GetReleased(), r.GetLeaving())
+	m.hear(from, r.GetView(), r.GetReleased())
 	m.absorb(from, r.GetGossip())
 	m.noteLater(from, r.GetView())
 	if isAnnouncement(r) {
@@ -144,7 +144,7 @@
 }
 
 // hear records what a heartbeat or reply says about its sender.
-func (m *Manager) hear(from *toucanpb.Member, view, released uint64, leaving bool) {
+func (m *Manager) hear(from *toucanpb.Member, view, released uint64) {
 	if from.GetId() == "" {
 		return
 	}
@@ -155,7 +155,6 @@
 	p.heard = now
 	p.held = max(p.held, view)
 	p.released = max(p.released, min(released, view))
-	p.leaving = p.leaving || leaving
 	m.addContact(from, now)
 }
 
--- a/toucanstair/toucanmember/bench_test.go
+++ b/toucanstair/toucanmember/bench_test.go
@@ -54,7 +54,7 @@
 			for b.Loop() {
 				q := ps[0].request(to)
 				r, _ := ps[1].Beat(b.Context(), q)
-				ps[0].hear(r.GetSender(), r.GetView(), r.GetReleased(), r.GetLeaving())
+				ps[0].hear(r.GetSender(), r.GetView(), r.GetReleased())
 				ps[0].absorb(r.GetSender(), r.GetGossip())
 				bytes += proto.Size(q) + proto.Size(r)
 			}
--- a/toucanstair/toucanmember/manager.go
+++ b/toucanstair/toucanmember/manager.go
@@ -44,8 +44,7 @@
 	left     atomic.Bool // uses and acknowledges nothing any more
 	replaced atomic.Bool
 
-	later  chan *toucanpb.Member // hosts with a later view
-	notify sync.Mutex            // orders the calls of Changed
+	later chan *toucanpb.Member // hosts with a later view
 
 	mu       sync.Mutex
 	rnd      *rand.Rand
@@ -75,7 +74,6 @@
 	since    time.Time // silence counts from here at the earliest
 	held     uint64    // last view that it is known to hold
 	released uint64
-	leaving  bool
 	promised bool      // never acknowledge it again
 	retry    time.Time // next attempt to remove it
 	wait     time.Duration
@@ -172,18 +170,10 @@
 	}
 }
 
-// SetLeaving makes the heartbeats say that this host is about to leave, so
-// that peers send it no new legs. Slots stay in use until Leave.
+// SetLeaving makes the heartbeats say that this host is about to leave, and
+// keeps them at the full rate. Slots stay in use until Leave.
 func (m *Manager) SetLeaving() { m.leaving.Store(true) }
 
-// IsLeaving reports whether a host said that it is about to leave.
-func (m *Manager) IsLeaving(id toucanhost.ID) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	p := m.peers[id]
-	return p != nil && p.leaving
-}
-
 // isFree reports whether no other host can be using a slot with the given
 // claims, and notes the members whose release is missing.
 func (m *Manager) isFree(s *standing, claims []claim) bool {
@@ -219,21 +209,12 @@
 
 // adopt makes a view current unless a later one is.
 func (m *Manager) adopt(v toucanview.View) {
-	m.notify.Lock()
-	defer m.notify.Unlock()
-	if !m.install(v) {
-		return
-	}
-	m.set.Changed(v)
-}
-
-func (m *Manager) install(v toucanview.View) bool {
 	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	old := m.standing.Load()
 	if v.Zone() != m.set.Zone || v.Number() <= old.view.Number() {
-		return false
+		return
 	}
 	if m.joined && v.Member(m.id()) == nil {
 		m.removed(v)
@@ -269,7 +250,6 @@
 	m.lease.Cancel()
 	m.standing.Store(s)
 	m.set.Log.Info("zone view changed", zap.Uint64("number", v.Number()), zap.Int("members", len(v.Members())), zap.Bool("member", s.member))
-	return true
 }
 
 // removed gives this process a new incarnation. Promises of the old one are
--- a/toucanstair/toucanmember/settings.go
+++ b/toucanstair/toucanmember/settings.go
@@ -9,7 +9,6 @@
 	"toucanstair.example/core/toucanpb"
 	"toucanstair.example/core/toucanzone"
 	"toucanstair.example/toucanstair/toucanlease"
-	"toucanstair.example/toucanstair/toucanview"
 )
 
 // Store is what the manager needs of the platform's store.
@@ -38,7 +37,6 @@
 	Dial         func(address string) (toucanpb.PeerClient, error)
 	Seeds        func() []string // peer addresses of hosts of other zones
 	Contributors []Contributor
-	Changed      func(toucanview.View) // called after each view change, one at a time
 	Log          *zap.Logger
 
 	Beat     time.Duration // between heartbeats to the voters; 500 ms
@@ -107,8 +105,5 @@
 	if s.Seeds == nil {
 		s.Seeds = func() []string { return nil }
 	}
-	if s.Changed == nil {
-		s.Changed = func(toucanview.View) {}
-	}
 	return s
 }
--- a/toucanstair/toucanquery/leg.go
+++ b/toucanstair/toucanquery/leg.go
@@ -25,38 +25,36 @@
 // version label and the own zone; then the other holders. Zones without a
 // replica that may serve the label are left out. The code says why there is none.
 func (c *Coordinator) zones(t *task, shard toucanshard.ID, serves map[toucanzone.Name][]byte) ([]toucanzone.Name, toucanpb.Code) {
-	holders := t.catalog.Holders(t.service, shard)
-	if len(holders) == 0 {
-		return nil, toucanpb.Code_CODE_VERSION
-	}
-	out := make([]toucanzone.Name, 0, len(holders))
+	const unserved, unlabelled, foreign = 4, 2, 1 // what makes a zone worse, the worst first
+	var classes [unserved + unlabelled + foreign + 1][]toucanzone.Name
+	found := 0
 	code := toucanpb.Code_CODE_VERSION
-	add := func(served, labelled, own bool) {
-		for _, z := range holders {
-			if has(serves[z], shard) != served || (z == c.Zone) != own {
-				continue
-			}
-			replicas := t.catalog.Serving(t.service, shard, z, t.label)
-			if len(replicas) == 0 || carries(replicas, t.label) != labelled {
-				continue
-			}
-			if t.catalog.Out(z) {
-				code = toucanpb.Code_CODE_OUT
-				continue
-			}
-			out = append(out, z)
+	for _, z := range t.catalog.Holders(t.service, shard) {
+		replicas := t.catalog.Serving(t.service, shard, z, t.label)
+		if len(replicas) == 0 {
+			continue
 		}
-	}
-	for _, served := range []bool{true, false} {
-		for _, labelled := range []bool{true, false} {
-			add(served, labelled, true)
-			add(served, labelled, false)
+		if t.catalog.Out(z) {
+			code = toucanpb.Code_CODE_OUT
+			continue
+		}
+		class := 0
+		if !has(serves[z], shard) {
+			class += unserved
+		}
+		if !carries(replicas, t.label) {
+			class += unlabelled
+		}
+		if z != c.Zone {
+			class += foreign
 		}
+		classes[class] = append(classes[class], z)
+		found++
 	}
-	if len(out) == 0 {
+	if found == 0 {
 		return nil, code
 	}
-	return out, toucanpb.Code_CODE_UNSPECIFIED
+	return slices.Concat(classes[:]...), toucanpb.Code_CODE_UNSPECIFIED
 }
 
 // carries reports whether a replica has the version label; all have "".
--- a/toucanstore/toucanplatform/server.go
+++ b/toucanstore/toucanplatform/server.go
@@ -18,6 +18,7 @@
 	"toucanstair.example/core/toucanfault"
 	"toucanstair.example/core/toucanpb"
 	"toucanstair.example/core/toucanspec"
+	"toucanstair.example/core/toucantimer"
 	"toucanstair.example/toucanstore/toucankv"
 )
 
@@ -128,7 +129,7 @@
 		if err == nil {
 			break
 		}
-		if !wait(ctx, listenPause) {
+		if !toucantimer.Wait(ctx, listenPause) {
 			break
 		}
 	}
@@ -213,7 +214,7 @@
 	}
 	delay, resumed := time.Duration(s.fault.Delay), s.resumed
 	s.mu.Unlock()
-	if resumed != nil && !s.hang(ctx, resumed) || !wait(ctx, delay) {
+	if resumed != nil && !s.hang(ctx, resumed) || !toucantimer.Wait(ctx, delay) {
 		return false, false, false
 	}
 	if k != kindWrite {
@@ -346,21 +347,6 @@
 	return nil
 }
 
-// wait reports whether d passed before ctx was done.
-func wait(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // hangUp closes the connection without a reply.
 func hangUp(http.ResponseWriter) { panic(http.ErrAbortHandler) }
 
--- a/toucantarget/toucanstandin/handler.go
+++ b/toucantarget/toucanstandin/handler.go
@@ -19,6 +19,7 @@
 	"toucanstair.example/core/toucanfault"
 	"toucanstair.example/core/toucanpb"
 	"toucanstair.example/core/toucanspec"
+	"toucanstair.example/core/toucantimer"
 )
 
 const (
@@ -122,7 +123,7 @@
 // written, because the caller may use the slot again as soon as it has it.
 func (t *Target) work(w http.ResponseWriter, r *http.Request, l leg) {
 	rest := deadline(r)
-	if !pause(r.Context(), min(l.work, rest)) {
+	if !toucantimer.Wait(r.Context(), min(l.work, rest)) {
 		t.leave(func(c *toucanspec.Record) { c.Cancelled++ })
 		return
 	}
@@ -201,7 +202,7 @@
 		return
 	}
 	part := []byte(strings.Repeat(" ", endlessPart))
-	for pause(r.Context(), endlessPause) {
+	for toucantimer.Wait(r.Context(), endlessPause) {
 		if _, err := w.Write(part); err != nil {
 			return
 		}
@@ -216,13 +217,13 @@
 	if delay == 0 {
 		delay = lateTime
 	}
-	pause(context.WithoutCancel(r.Context()), rest+delay)
+	toucantimer.Wait(context.WithoutCancel(r.Context()), rest+delay)
 }
 
 // down holds a leg until the end of the fall and fails it.
 func (t *Target) down(w http.ResponseWriter, r *http.Request) {
 	end, _ := t.standing()
-	if !pause(r.Context(), time.Until(end)) {
+	if !toucantimer.Wait(r.Context(), time.Until(end)) {
 		t.leave(func(c *toucanspec.Record) { c.Cancelled++ })
 		return
 	}
@@ -289,18 +290,3 @@
 	}
 	return time.Duration(left * float64(time.Millisecond))
 }
-
-// pause reports whether d passed before ctx was done.
-func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
