Forward requests to the platform's targets: first whole path

A host follows the platform's store, chooses targets by what it observed, hedges within a quota and merges the records of shards.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Pinned tool versions; .ci/run needs nothing else installed but Go and make.
 GOLANGCI_VERSION := v2.15.0
 
-MODULES  := core toucanstair toucanctl toucanstore toucantarget toucanload toucandemo integration
+MODULES  := core toucanstair platform toucanctl toucanstore toucantarget toucanload toucandemo integration
 PROGRAMS := toucanstair toucanctl toucanstore toucantarget toucanload toucandemo
 PATHS    := $(addprefix ./,$(addsuffix /...,$(MODULES)))
 TOOLS    := $(CURDIR)/.tools
--- /dev/null
+++ b/toucanstair/toucanentry/entry.go
@@ -0,0 +1,202 @@
+// Package toucanentry runs an entry host that forwards requests: its
+// listeners, its readiness and its graceful shutdown.
+package toucanentry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"toucanstair.example/core/toucanhost"
+	"toucanstair.example/core/toucanzone"
+	"toucanstair.example/toucanstair/toucanfollow"
+	"toucanstair.example/toucanstair/toucanforward"
+	"toucanstair.example/toucanstair/toucanquota"
+	"toucanstair.example/toucanstair/toucanroster"
+	"toucanstair.example/toucanstair/toucanrules"
+	"toucanstair.example/toucanstair/toucansend"
+)
+
+const (
+	// headerTime and idleTime bound callers beyond what the operators' limits
+	// say, which a starting host does not know yet.
+	headerTime = 10 * time.Second
+	idleTime   = 120 * time.Second
+	maxHeader  = 64 << 10 // bytes
+	// lingerTime is how long callers may open connections after a stop began:
+	// the load balancer asks each second and needs two misses.
+	lingerTime = 2600 * time.Millisecond
+	// graceSpare is left of the grace time for the end of the process.
+	graceSpare = 400 * time.Millisecond
+	// memoryShare is the part of the memory limit that the heap may take.
+	memoryShare = 0.7
+	// quotaShare is the part of the operators' bound on repeats that is used,
+	// since hosts that start again begin with a full bucket.
+	quotaShare = 0.8
+)
+
+// Settings says where a host runs and what bounds it.
+type Settings struct {
+	Name    toucanhost.ID
+	Zone    toucanzone.Name
+	Region  toucanrules.Region
+	Places  toucanrules.Places
+	Front   string // "ip:port" for callers
+	Ready   string // "ip:port" for the load balancer
+	Metrics string // "ip:port" for metrics; "": none
+	Memory  int64  // bytes
+	Grace   time.Duration
+	Hosts   int // hosts that run at the same time, at least
+	Repeats Repeats
+	Orders  string // prefix of rules and orders in the store
+	Targets string // prefix of the list of targets in the store
+	Check   string // path of the readiness question
+}
+
+// Repeats is the operators' bound on requests that are sent again.
+type Repeats struct {
+	Ratio float64 // of the requests for a service
+	Slack float64 // requests beyond that in one window, all hosts together
+}
+
+// Entry is an entry host. Its fields are set before Run.
+type Entry struct {
+	Settings Settings
+	Dialect  toucansend.Dialect
+	Store    toucanfollow.Store
+	Decode   func(toucanfollow.Item) (toucanfollow.Change, error)
+	Log      *zap.Logger
+
+	stopping atomic.Bool
+}
+
+// Run serves until a signal asks it to stop, and returns nil when no request
+// was interrupted.
+func (e *Entry) Run(ctx context.Context, signals <-chan os.Signal) error {
+	s := &e.Settings
+	if s.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory)))
+	}
+	work, cancel := context.WithCancel(ctx)
+	defer cancel()
+	roster := &toucanroster.Roster{}
+	sender := &toucansend.Sender{Dialect: e.Dialect}
+	follower := &toucanfollow.Follower{
+		Store: e.Store, Decode: e.Decode, Orders: s.Orders, Targets: s.Targets, Roster: roster, Log: e.Log,
+		Swept: func() { sender.Retain(roster.Has) },
+	}
+	hosts := max(1, s.Hosts)
+	forwarder := &toucanforward.Forwarder{
+		Dialect: e.Dialect, Guide: follower, Roster: roster, Sender: sender, Log: e.Log,
+		Chooser: &toucanroster.Chooser{Zone: s.Zone, Region: s.Region, Places: s.Places},
+		Quota:   &toucanquota.Quota{Ratio: quotaShare * s.Repeats.Ratio, Burst: quotaShare * s.Repeats.Slack / float64(hosts)},
+		Hosts:   func() int { return hosts },
+		Closing: e.stopping.Load,
+	}
+	followed := follower.Run(work)
+	front := e.server(forwarder)
+	ready := e.server(e.readiness(follower))
+	ends := make(chan error, 3)
+	for _, l := range []struct {
+		address string
+		server  *http.Server
+	}{{s.Front, front}, {s.Ready, ready}, {s.Metrics, e.server(http.HandlerFunc(writeMetrics))}} {
+		if l.address == "" {
+			continue
+		}
+		if err := listen(ctx, l.address, l.server, ends); err != nil {
+			return err
+		}
+	}
+	e.Log.Info("started", zap.String("front", s.Front), zap.Int("pid", os.Getpid()))
+	if err := e.wait(ctx, signals, ends); err != nil {
+		return err
+	}
+	err := e.stop(ctx, front)
+	cancel()
+	return errors.Join(err, <-followed)
+}
+
+// wait returns nil when a signal asks for a stop, or the failure of a listener.
+func (e *Entry) wait(ctx context.Context, signals <-chan os.Signal, ends <-chan error) error {
+	for {
+		select {
+		case sig := <-signals:
+			if sig == syscall.SIGHUP {
+				e.Log.Info("reload asked for; addresses and bounds stay as they were at the start")
+				continue
+			}
+			e.Log.Info("stop asked for", zap.String("signal", sig.String()))
+			return nil
+		case err := <-ends:
+			return err
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// stop ends readiness, waits for the load balancer, and lets requests end.
+func (e *Entry) stop(ctx context.Context, front *http.Server) error {
+	e.stopping.Store(true)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), max(lingerTime, e.Settings.Grace-graceSpare))
+	defer cancel()
+	linger := time.NewTimer(lingerTime)
+	defer linger.Stop()
+	<-linger.C
+	err := front.Shutdown(ctx)
+	if err != nil {
+		e.Log.Warn("stopped with requests in flight", zap.Error(err))
+		return err
+	}
+	e.Log.Info("stopped")
+	return nil
+}
+
+func (e *Entry) server(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeader,
+		ErrorLog: zap.NewStdLog(e.Log),
+	}
+}
+
+// readiness answers the load balancer: 200 while the host can serve.
+func (e *Entry) readiness(f *toucanfollow.Follower) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.URL.Path != e.Settings.Check:
+			http.NotFound(w, r)
+		case e.stopping.Load():
+			http.Error(w, "the host is stopping", http.StatusServiceUnavailable)
+		case !f.Ready():
+			http.Error(w, "there is no configuration or no list of targets yet", http.StatusServiceUnavailable)
+		}
+	})
+}
+
+func writeMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	metrics.WritePrometheus(w, true)
+}
+
+func listen(ctx context.Context, address string, s *http.Server, ends chan<- error) error {
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	go func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			ends <- err
+		}
+	}()
+	return nil
+}
--- /dev/null
+++ b/toucanstair/toucanforward/entry.go
@@ -0,0 +1,47 @@
+package toucanforward
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+)
+
+// entry is the log line of one request.
+type entry struct {
+	id      string
+	began   time.Time
+	version uint64 // of the rules
+	route   string
+	status  int
+	why     string
+	sends   int
+	hedges  int
+	repeats int
+	asked   int
+	missing int
+	trail   []string // what happened at targets, other than plain success
+}
+
+// maxTrail bounds the notes of one request.
+const maxTrail = 12
+
+func (e *entry) note(text string) {
+	if len(e.trail) < maxTrail {
+		e.trail = append(e.trail, strconv.FormatInt(time.Since(e.began).Milliseconds(), 10)+"ms "+text)
+	}
+}
+
+func (f *Forwarder) report(e *entry) {
+	took := time.Since(e.began)
+	status := strconv.Itoa(e.status)
+	metrics.GetOrCreateCounter(`toucan_forward_responses_total{status="` + status + `"}`).Inc()
+	metrics.GetOrCreateHistogram(`toucan_forward_seconds{status="` + status + `"}`).Update(took.Seconds())
+	f.Log.Info("request",
+		zap.String("request", e.id), zap.String("route", e.route), zap.Uint64("version", e.version),
+		zap.Int("status", e.status), zap.String("why", e.why), zap.Duration("took", took),
+		zap.Int("asked", e.asked), zap.Int("missing", e.missing),
+		zap.Int("sends", e.sends), zap.Int("hedges", e.hedges), zap.Int("repeats", e.repeats),
+		zap.Strings("trail", e.trail))
+}
--- /dev/null
+++ b/toucanstair/toucanforward/flight.go
@@ -0,0 +1,168 @@
+package toucanforward
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"toucanstair.example/core/toucanservice"
+	"toucanstair.example/toucanstair/toucangather"
+	"toucanstair.example/toucanstair/toucanroster"
+	"toucanstair.example/toucanstair/toucanrules"
+	"toucanstair.example/toucanstair/toucansend"
+)
+
+const (
+	// dueSpare is how long before the objective a response with missing shards
+	// leaves, so that it arrives within it.
+	dueSpare = 10 * time.Millisecond
+	// lingerTime is how long targets may still finish after the response was
+	// given; it saves the connection, and the latency is learnt from.
+	lingerTime = 250 * time.Millisecond
+)
+
+// flight is one request on its way to targets.
+type flight struct {
+	f       *Forwarder
+	route   *toucanrules.Route
+	entry   *entry
+	method  string
+	uri     string
+	host    string
+	header  http.Header
+	body    []byte
+	limit   time.Time
+	plan    toucangather.Plan
+	legs    []leg
+	live    int
+	events  chan event
+	ctx     context.Context // of the exchanges with targets
+	cancel  context.CancelFunc
+	verdict toucangather.Verdict
+	gone    bool // the caller has left
+}
+
+// event is the end of one exchange.
+type event struct {
+	leg    int
+	target *toucanroster.Target
+	res    *toucansend.Response
+	err    *toucansend.Error
+}
+
+func (f *Forwarder) flight(r *http.Request, route *toucanrules.Route, body []byte, e *entry, limit time.Time) *flight {
+	g := &flight{
+		f: f, route: route, entry: e, method: r.Method, uri: r.RequestURI, host: r.Host,
+		header: f.forwardable(r.Header), body: body, limit: limit,
+	}
+	services := route.Shards
+	g.plan = toucangather.Plan{Shards: len(services), Coverage: route.Coverage, Limit: limit}
+	if route.Fans() {
+		g.plan.Due = e.began.Add(route.Target - dueSpare)
+	} else {
+		services = []toucanservice.Name{route.Pick(rand.Float64())}
+		g.plan.Shards, g.plan.Coverage = 1, 1
+	}
+	g.legs = make([]leg, len(services))
+	for i, s := range services {
+		g.legs[i].service = s
+	}
+	e.asked = len(services)
+	g.events = make(chan event, len(services)*maxSends)
+	return g
+}
+
+// run sends the request and gathers until there is a verdict.
+func (g *flight) run(caller context.Context) {
+	g.ctx, g.cancel = context.WithDeadline(context.WithoutCancel(caller), g.limit.Add(deadlineSpare))
+	defer g.end()
+	now := time.Now()
+	for i := range g.legs {
+		g.f.Quota.Earn(g.legs[i].service)
+		g.start(i, now)
+	}
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		now = time.Now()
+		if g.verdict = g.plan.Verdict(now); g.verdict != toucangather.Wait {
+			return
+		}
+		timer.Reset(time.Until(g.wake(now)))
+		select {
+		case ev := <-g.events:
+			g.live--
+			g.take(ev, time.Now())
+		case <-timer.C:
+			g.tick(time.Now())
+		case <-caller.Done():
+			g.gone = true
+			return
+		}
+	}
+}
+
+// end lets the remaining exchanges finish for a short time, unless nobody
+// waits for the response.
+func (g *flight) end() {
+	if g.live == 0 || g.gone || g.verdict == toucangather.Abandon {
+		g.cancel()
+		return
+	}
+	time.AfterFunc(lingerTime, g.cancel)
+}
+
+// wake returns the next moment at which something has to be decided.
+func (g *flight) wake(now time.Time) time.Time {
+	at := g.plan.Wake(now)
+	for i := range g.legs {
+		if w := g.legs[i].wake; !w.IsZero() && w.Before(at) {
+			at = w
+		}
+	}
+	return at
+}
+
+func (g *flight) tick(now time.Time) {
+	for i := range g.legs {
+		l := &g.legs[i]
+		if l.wake.IsZero() || now.Before(l.wake) {
+			continue
+		}
+		l.wake = time.Time{}
+		if l.live == 0 {
+			g.start(i, now)
+		} else {
+			g.hedge(i, now)
+		}
+	}
+}
+
+// send starts one exchange with a target.
+func (g *flight) send(i int, t *toucanroster.Target, now time.Time) {
+	l := &g.legs[i]
+	l.live++
+	l.sends++
+	g.live++
+	g.entry.sends++
+	r := &toucansend.Request{
+		Target: t.ID, Address: t.Address, Method: g.method, URI: g.uri, Host: g.host, Header: g.header,
+		Body: g.body, ID: g.entry.id, Limit: g.f.connections(t), Fresh: !g.route.Idempotent,
+		Connect: min(connectTime, g.limit.Sub(now)),
+	}
+	go g.exchange(i, t, r, now)
+}
+
+func (g *flight) exchange(i int, t *toucanroster.Target, r *toucansend.Request, sent time.Time) {
+	n := t.Load.Begin(sent)
+	res, err := g.f.Sender.Do(g.ctx, r, g.limit.Sub(sent))
+	t.Load.End(n)
+	ev := event{leg: i, target: t, res: res}
+	if err != nil && !errors.As(err, &ev.err) {
+		ev.err = &toucansend.Error{Fate: toucansend.Unknown, Cause: err}
+	}
+	g.f.observe(t, ev, time.Now(), sent, g.ctx.Err() != nil)
+	g.events <- ev
+}
--- /dev/null
+++ b/toucanstair/toucanforward/forwarder.go
@@ -0,0 +1,182 @@
+// Package toucanforward answers callers' requests with the responses of
+// targets: one target's response as it is, or the merged records of all
+// shards.
+package toucanforward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"toucanstair.example/core/toucanreplica"
+	"toucanstair.example/core/toucanzone"
+	"toucanstair.example/toucanstair/toucanquota"
+	"toucanstair.example/toucanstair/toucanroster"
+	"toucanstair.example/toucanstair/toucanrules"
+	"toucanstair.example/toucanstair/toucansend"
+)
+
+const (
+	// deadlineSpare is left of a caller's deadline for the way back.
+	deadlineSpare = 15 * time.Millisecond
+	// bodyTime bounds the reading of a request body.
+	bodyTime = 5 * time.Second
+	// maxFlights bounds the requests that one host serves at the same time, and
+	// with it the memory they use.
+	maxFlights = 600
+	// pauseUnready, pauseFull and pauseNone say when a caller may return: when
+	// a starting host has rules, when the queues of targets are shorter, and
+	// when a lost target may be back.
+	pauseUnready = 400 * time.Millisecond
+	pauseFull    = 60 * time.Millisecond
+	pauseNone    = 150 * time.Millisecond
+)
+
+type guide interface {
+	Rules() *toucanrules.Rules
+	Out() map[toucanzone.Name]bool
+}
+
+type sender interface {
+	Do(ctx context.Context, r *toucansend.Request, left time.Duration) (*toucansend.Response, error)
+}
+
+// Forwarder is the handler of callers' requests. Its exported fields are set
+// before use.
+type Forwarder struct {
+	Dialect toucansend.Dialect
+	Guide   guide
+	Roster  *toucanroster.Roster
+	Chooser *toucanroster.Chooser
+	Quota   *toucanquota.Quota
+	Sender  sender
+	Hosts   func() int // hosts that share the connections of targets
+	Log     *zap.Logger
+	// Closing reports whether connections are closed after their response.
+	Closing func() bool
+
+	flights atomic.Int64
+}
+
+var tooMany = metrics.NewCounter(`toucan_forward_refused_total{reason="host is full"}`)
+
+// ServeHTTP answers one request.
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	began := time.Now()
+	if f.Closing != nil && f.Closing() {
+		w.Header().Set("Connection", "close")
+	}
+	defer f.flights.Add(-1)
+	running := f.flights.Add(1)
+	e := &entry{id: r.Header.Get(f.Dialect.Request), began: began}
+	defer f.report(e)
+	rules := f.Guide.Rules()
+	if rules == nil {
+		f.refuse(w, e, pauseUnready, "no configuration is in effect yet")
+		return
+	}
+	e.version = rules.Version
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	route := rules.Match(r.Host, path)
+	if route == nil {
+		f.fail(w, e, http.StatusNotFound, "no route matches the host name and path")
+		return
+	}
+	e.route = route.Name
+	if e.id == "" {
+		f.fail(w, e, http.StatusBadRequest, "the request has no id")
+		return
+	}
+	if running > maxFlights {
+		tooMany.Inc()
+		f.refuse(w, e, pauseFull, "the host has too many requests in flight")
+		return
+	}
+	limit, err := f.limit(r, route, began)
+	if err != nil {
+		f.fail(w, e, http.StatusBadRequest, err.Error())
+		return
+	}
+	body, status, err := readBody(w, r, rules.Limits.BodyBytes)
+	if err != nil {
+		f.fail(w, e, status, err.Error())
+		return
+	}
+	g := f.flight(r, route, body, e, limit)
+	g.run(r.Context())
+	g.respond(w)
+}
+
+// limit returns when a request ends: at the caller's deadline or the route's
+// timeout.
+func (f *Forwarder) limit(r *http.Request, route *toucanrules.Route, began time.Time) (time.Time, error) {
+	limit := began.Add(route.Timeout)
+	text := r.Header.Get(f.Dialect.Deadline)
+	if text == "" {
+		return limit, nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms <= 0 {
+		return limit, &headerError{f.Dialect.Deadline, text}
+	}
+	deadline := began.Add(time.Duration(min(ms, int64(time.Hour/time.Millisecond))) * time.Millisecond)
+	if deadline = deadline.Add(-deadlineSpare); deadline.Before(limit) || route.Timeout <= 0 {
+		limit = deadline
+	}
+	return limit, nil
+}
+
+type headerError struct{ name, value string }
+
+func (e *headerError) Error() string {
+	return "header " + e.name + " has the value " + strconv.Quote(e.value) + ", not a positive whole number"
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, most int64) ([]byte, int, error) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil, 0, nil
+	}
+	if most > 0 {
+		r.Body = http.MaxBytesReader(w, r.Body, most)
+	}
+	control := http.NewResponseController(w)
+	// A connection without deadlines is only found in tests.
+	_ = control.SetReadDeadline(time.Now().Add(bodyTime))
+	body, err := io.ReadAll(r.Body)
+	_ = control.SetReadDeadline(time.Time{})
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return nil, http.StatusRequestEntityTooLarge, err
+	case err != nil:
+		return nil, http.StatusBadRequest, err
+	}
+	return body, 0, nil
+}
+
+// refuse answers that a request has not run and when the caller may return.
+func (f *Forwarder) refuse(w http.ResponseWriter, e *entry, pause time.Duration, why string) {
+	w.Header().Set("Retry-After", strconv.FormatFloat(pause.Seconds(), 'f', 3, 64))
+	f.fail(w, e, http.StatusServiceUnavailable, why)
+}
+
+func (f *Forwarder) fail(w http.ResponseWriter, e *entry, status int, why string) {
+	e.status, e.why = status, why
+	if e.id != "" {
+		w.Header().Set(f.Dialect.Request, e.id)
+	}
+	http.Error(w, why, status)
+}
+
+// need returns which targets of a service a route's requests may go to.
+func (f *Forwarder) need(route *toucanrules.Route, tried []toucanreplica.ID) toucanroster.Need {
+	return toucanroster.Need{Homes: route.Homes, Evacuated: f.Guide.Out(), Tried: tried}
+}
--- /dev/null
+++ b/toucanstair/toucanforward/leg.go
@@ -0,0 +1,292 @@
+package toucanforward
+
+import (
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"toucanstair.example/core/toucanreplica"
+	"toucanstair.example/core/toucanservice"
+	"toucanstair.example/toucanstair/toucanroster"
+	"toucanstair.example/toucanstair/toucansend"
+)
+
+const (
+	// maxSends bounds the exchanges of one leg, those that did not run included.
+	maxSends = 6
+	// connectTime bounds the making of a connection: the way to another region
+	// and back, twice, and the target's own time.
+	connectTime = 300 * time.Millisecond
+	// hedgeLeast is the least time before a leg is sent to a second target.
+	hedgeLeast = 12 * time.Millisecond
+	// hedgeSpread is how many deviations a response may be later than usual.
+	hedgeSpread = 3
+	// hedgeAgain is the pause after a hedge that was not possible.
+	hedgeAgain = 15 * time.Millisecond
+	// refusedPause is the pause before a target that refused is asked again.
+	refusedPause = 12 * time.Millisecond
+	// retryReserve is how many tokens hedges leave to retries.
+	retryReserve = 2
+	// connectionShare is the share of a target's connections that the hosts use
+	// together; the rest is for hosts that start while others still run.
+	connectionShare = 0.9
+)
+
+var (
+	hedges  = metrics.NewCounter("toucan_forward_hedges_total")
+	repeats = metrics.NewCounter("toucan_forward_repeats_total")
+	starved = metrics.NewCounter("toucan_forward_quota_exhausted_total")
+)
+
+// leg is the part of a request that goes to one service.
+type leg struct {
+	service  toucanservice.Name
+	tried    []toucanreplica.ID // may have run it, or have it now
+	refused  []toucanreplica.ID // have said that they did not run it
+	arrived  bool               // an exchange reached a target
+	sends    int
+	live     int
+	done     bool
+	lost     bool
+	wake     time.Time // when to hedge, or to start again
+	res      *toucansend.Response
+	failure  *toucansend.Response // a target's complete failure, the last one
+	unknown  bool                 // it may have run without a response
+	answered toucanreplica.ID
+}
+
+// start sends a leg that no target has now, or gives it up.
+func (g *flight) start(i int, now time.Time) {
+	l := &g.legs[i]
+	if l.done || l.lost {
+		return
+	}
+	if l.sends >= maxSends || len(l.tried) >= g.route.Attempts {
+		g.lose(l)
+		return
+	}
+	ts := g.f.Roster.Listed(l.service)
+	need := g.f.need(g.route, append(slices.Clone(l.tried), l.refused...))
+	t, expect := g.f.Chooser.Choose(ts, need, now)
+	if t == nil {
+		g.again(l, ts, now)
+		return
+	}
+	if l.arrived && !g.repeat(l, 0) {
+		g.lose(l)
+		return
+	}
+	l.tried = append(l.tried, t.ID)
+	l.wake = g.hedgeAt(t, expect, now)
+	g.send(i, t, now)
+}
+
+// again plans another try at targets that refused or are out of reach for a
+// moment, or gives the leg up where there is none.
+func (g *flight) again(l *leg, ts []*toucanroster.Target, now time.Time) {
+	if !g.f.Chooser.Any(ts, g.f.need(g.route, l.tried)) {
+		g.lose(l)
+		return
+	}
+	at := now.Add(refusedPause)
+	if !at.Before(g.limit) || !g.route.Fans() && len(l.refused) > 0 {
+		g.lose(l)
+		return
+	}
+	l.refused = l.refused[:0]
+	l.sends++
+	l.wake = at
+}
+
+// repeat takes a token for one more arrival.
+func (g *flight) repeat(l *leg, reserve float64) bool {
+	if !g.f.Quota.Take(l.service, reserve) {
+		starved.Inc()
+		g.entry.note("no token to repeat at " + string(l.service))
+		return false
+	}
+	repeats.Inc()
+	g.entry.repeats++
+	return true
+}
+
+func (g *flight) lose(l *leg) {
+	if l.live > 0 || l.lost || l.done {
+		return
+	}
+	l.lost = true
+	g.plan.Lost()
+}
+
+func (g *flight) hedgeAt(t *toucanroster.Target, expect time.Duration, now time.Time) time.Time {
+	if !g.route.Idempotent || g.route.Attempts < 2 {
+		return time.Time{}
+	}
+	v := t.Load.View(now)
+	wait := 2 * expect
+	if v.Latency > 0 {
+		wait = v.Latency + hedgeSpread*v.Spread
+	}
+	return now.Add(max(hedgeLeast, wait))
+}
+
+// hedge sends a leg that is late to a second target.
+func (g *flight) hedge(i int, now time.Time) {
+	l := &g.legs[i]
+	if l.done || l.lost || l.sends >= maxSends || len(l.tried) >= g.route.Attempts {
+		return
+	}
+	ts := g.f.Roster.Listed(l.service)
+	need := g.f.need(g.route, append(slices.Clone(l.tried), l.refused...))
+	t, expect := g.f.Chooser.Choose(ts, need, now)
+	if t == nil || now.Add(expect).After(g.limit) {
+		return
+	}
+	if !g.repeat(l, retryReserve) {
+		l.wake = now.Add(hedgeAgain)
+		return
+	}
+	hedges.Inc()
+	g.entry.hedges++
+	g.entry.note("hedge of " + string(l.tried[0]) + " at " + string(t.ID))
+	l.tried = append(l.tried, t.ID)
+	g.send(i, t, now)
+}
+
+// take decides what follows from the end of an exchange.
+func (g *flight) take(ev event, now time.Time) {
+	l := &g.legs[ev.leg]
+	l.live--
+	if l.done {
+		return
+	}
+	id := ev.target.ID
+	switch g.f.judge(ev) {
+	case good:
+		l.done, l.res, l.answered = true, ev.res, id
+		l.wake = time.Time{}
+		g.plan.Arrived()
+		return
+	case notRun:
+		l.arrived = true
+		g.entry.note("refused by " + string(id))
+		l.tried = slices.DeleteFunc(l.tried, func(t toucanreplica.ID) bool { return t == id })
+		l.refused = append(l.refused, id)
+	case unsent:
+		g.entry.note("not sent to " + string(id) + ": " + ev.err.Error())
+		l.tried = slices.DeleteFunc(l.tried, func(t toucanreplica.ID) bool { return t == id })
+		l.refused = append(l.refused, id)
+	case final:
+		l.arrived, l.failure = true, ev.res
+		l.done, l.res, l.answered = !g.route.Fans(), ev.res, id
+		g.entry.note("status " + strconv.Itoa(ev.res.Status) + " of " + string(id))
+		if l.done {
+			g.plan.Arrived()
+			return
+		}
+	case failed:
+		l.arrived = true
+		if ev.res != nil {
+			l.failure = ev.res
+			g.entry.note("status " + strconv.Itoa(ev.res.Status) + " of " + string(id))
+		} else {
+			l.unknown = true
+			g.entry.note("lost at " + string(id) + ": " + ev.err.Error())
+		}
+		if !g.route.Idempotent {
+			g.lose(l)
+			return
+		}
+	}
+	if l.live == 0 {
+		g.start(ev.leg, now)
+	}
+}
+
+type judgement int
+
+const (
+	good   judgement = iota // the response that was asked for
+	final                   // a target's response that a repeat would not change
+	failed                  // it ran, or may have run, without success
+	notRun                  // the target did not run it
+	unsent                  // it reached no target
+)
+
+func (f *Forwarder) judge(ev event) judgement {
+	if ev.err != nil {
+		if ev.err.Fate == toucansend.Unknown {
+			return failed
+		}
+		return unsent
+	}
+	res := ev.res
+	stamped := res.Header.Get(f.Dialect.Stamp) != ""
+	switch {
+	case res.Status == http.StatusMisdirectedRequest || res.Header.Get(f.Dialect.NotRun) != "":
+		return notRun
+	case res.Status/100 == 2:
+		if stamped && res.Header.Get("Content-Encoding") == "" {
+			return good
+		}
+		return failed
+	case res.Status >= 500 || !stamped:
+		return failed
+	}
+	return final
+}
+
+// observe notes what an exchange tells of its target. given says that this
+// host ended the exchange.
+func (f *Forwarder) observe(t *toucanroster.Target, ev event, now, sent time.Time, given bool) {
+	took := now.Sub(sent)
+	if ev.err != nil {
+		switch {
+		case given:
+			t.Load.Slow(now, took)
+		case ev.err.Fate == toucansend.Unreachable:
+			t.Load.Unreachable(now)
+		case ev.err.Fate == toucansend.Unknown:
+			t.Load.Failed(now)
+		}
+		return
+	}
+	if f.Dialect.ReadLoad != nil {
+		if n, ok := f.Dialect.ReadLoad(ev.res.Header.Get(f.Dialect.Load)); ok {
+			t.Load.Told(now, n)
+		}
+	}
+	if text := ev.res.Header.Get(f.Dialect.Cold); text != "" {
+		if ms, err := strconv.ParseInt(text, 10, 32); err == nil {
+			t.SetCold(now, time.Duration(ms)*time.Millisecond)
+		}
+	}
+	switch f.judge(ev) {
+	case good, final:
+		t.Load.Answered(now, took)
+	case notRun:
+		if ev.res.Status == http.StatusMisdirectedRequest {
+			t.Load.Unreachable(now)
+			return
+		}
+		t.Load.Refused(now)
+	default:
+		t.Load.Failed(now)
+	}
+}
+
+// connections returns how many connections this host may have to a target.
+func (f *Forwarder) connections(t *toucanroster.Target) int {
+	rules := f.Guide.Rules()
+	if rules == nil {
+		return 1
+	}
+	all := rules.Services[t.Service].Connections
+	if all <= 0 {
+		return 0
+	}
+	return max(1, int(connectionShare*float64(all))/max(1, f.Hosts()))
+}
--- /dev/null
+++ b/toucanstair/toucanroster/choose.go
@@ -0,0 +1,103 @@
+package toucanroster
+
+import (
+	"slices"
+	"time"
+
+	"toucanstair.example/core/toucanreplica"
+	"toucanstair.example/core/toucanzone"
+	"toucanstair.example/toucanstair/toucanrules"
+)
+
+const (
+	// Latencies that are assumed before a target was observed.
+	guessZone   = 10 * time.Millisecond
+	guessRegion = 14 * time.Millisecond
+	guessFar    = 40 * time.Millisecond
+	// failCost is the latency that one sure failure is worth.
+	failCost = 400 * time.Millisecond
+	// coldFactor is how much slower a cold target is assumed to be.
+	coldFactor = 2
+)
+
+// Chooser orders the targets of a service for one request. It has no state
+// and uses no network: what it needs is in its fields and arguments.
+type Chooser struct {
+	Zone   toucanzone.Name
+	Region toucanrules.Region
+	Places toucanrules.Places
+}
+
+// Need says which targets of a service a request may go to.
+type Need struct {
+	Homes     []toucanrules.Region     // regions that may serve it; empty: all
+	Evacuated map[toucanzone.Name]bool // zones that get nothing
+	Tried     []toucanreplica.ID       // targets that have got it
+	Version   string                   // only this version of the software; "": any
+}
+
+// Choose returns the target with the least expected time to respond and that
+// time, or nil when no target may be used.
+func (c *Chooser) Choose(ts []*Target, n Need, now time.Time) (*Target, time.Duration) {
+	var best *Target
+	var least time.Duration
+	for _, t := range ts {
+		if !c.allows(t, n) {
+			continue
+		}
+		v := t.Load.View(now)
+		if v.Banned {
+			continue
+		}
+		if e := c.Expect(t, v, now); best == nil || e < least {
+			best, least = t, e
+		}
+	}
+	return best, least
+}
+
+// Any reports whether a request may go to at least one target, also one that
+// is out of reach for a moment.
+func (c *Chooser) Any(ts []*Target, n Need) bool {
+	return slices.ContainsFunc(ts, func(t *Target) bool { return c.allows(t, n) })
+}
+
+func (c *Chooser) allows(t *Target, n Need) bool {
+	switch {
+	case n.Evacuated[t.Zone], slices.Contains(n.Tried, t.ID):
+		return false
+	case n.Version != "" && t.Version != n.Version:
+		return false
+	case len(n.Homes) > 0 && !slices.Contains(n.Homes, c.Places[t.Zone]):
+		return false
+	}
+	return true
+}
+
+// Expect returns the time in which a target is expected to respond, with what
+// its failures cost.
+func (c *Chooser) Expect(t *Target, v View, now time.Time) time.Duration {
+	e := v.Latency
+	if e == 0 {
+		e = c.guess(t)
+		if t.Cold(now) {
+			e *= coldFactor
+		}
+	}
+	// A target whose oldest exchange is late has paused or is lost.
+	e = max(e, v.Oldest)
+	slots := max(1, t.Slots)
+	queue := max(v.Running, v.Waiting)
+	e += e * time.Duration(queue) / time.Duration(2*slots)
+	return e + time.Duration((v.Failures+v.Refusals/2)*float64(failCost))
+}
+
+func (c *Chooser) guess(t *Target) time.Duration {
+	switch {
+	case t.Zone == c.Zone:
+		return guessZone
+	case c.Places[t.Zone] == c.Region:
+		return guessRegion
+	}
+	return guessFar
+}
--- /dev/null
+++ b/toucanstair/toucansend/pool.go
@@ -0,0 +1,193 @@
+package toucansend
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"toucanstair.example/core/toucanreplica"
+)
+
+const (
+	// idleMost is how long a connection without a stated limit is kept.
+	idleMost = 8 * time.Second
+	// idleSpare is how much earlier than the target a connection is closed.
+	idleSpare = 700 * time.Millisecond
+	// freshFor is how long after its last use a connection may carry a request
+	// that can't be repeated.
+	freshFor = 2 * time.Second
+	// probeIdle, probeEvery and probeCount end a connection whose other side
+	// is silent after about 3 s.
+	probeIdle  = time.Second
+	probeEvery = time.Second
+	probeCount = 2
+)
+
+// Dialer connects with keep-alive probes that end a silent connection.
+var Dialer = net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
+	Enable: true, Idle: probeIdle, Interval: probeEvery, Count: probeCount,
+}}
+
+type conn struct {
+	net.Conn
+	r    *bufio.Reader
+	idle time.Duration // how long the target keeps the connection idle
+	used time.Time
+}
+
+// keep reads the idle time of a Keep-Alive header.
+func (c *conn) keep(header string) {
+	c.idle = idleMost
+	for field := range strings.SplitSeq(header, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if n, err := strconv.Atoi(value); err == nil {
+			c.idle = min(idleMost, time.Duration(n)*time.Second)
+		}
+	}
+}
+
+// sound reports whether an idle connection is open and has nothing to read.
+func (c *conn) sound() bool {
+	t, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return true
+	}
+	raw, err := t.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var one [1]byte
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		_, _, e := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = e == syscall.EAGAIN || e == syscall.EINTR
+		return true
+	})
+	return err == nil && quiet
+}
+
+type key struct {
+	id      toucanreplica.ID
+	address string
+}
+
+type pools struct {
+	mu  sync.Mutex
+	all map[key]*pool
+}
+
+func (p *pools) of(id toucanreplica.ID, address string) *pool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	k := key{id, address}
+	if q, ok := p.all[k]; ok {
+		return q
+	}
+	if p.all == nil {
+		p.all = make(map[key]*pool)
+	}
+	q := &pool{}
+	p.all[k] = q
+	return q
+}
+
+func (p *pools) retain(wanted func(toucanreplica.ID) bool) {
+	p.mu.Lock()
+	var gone []*pool
+	for k, q := range p.all {
+		if !wanted(k.id) {
+			gone = append(gone, q)
+			delete(p.all, k)
+		}
+	}
+	p.mu.Unlock()
+	for _, q := range gone {
+		q.close()
+	}
+}
+
+// pool keeps the connections to one target.
+type pool struct {
+	mu     sync.Mutex
+	idle   []*conn // most recently used last
+	open   int     // idle and in use
+	closed bool
+}
+
+// take returns an idle connection or makes one.
+func (p *pool) take(ctx context.Context, r *Request) (*conn, Fate, error) {
+	now := time.Now()
+	p.mu.Lock()
+	for len(p.idle) > 0 {
+		c := p.idle[len(p.idle)-1]
+		p.idle = p.idle[:len(p.idle)-1]
+		limit := c.idle - idleSpare
+		if r.Fresh {
+			limit = min(limit, freshFor)
+		}
+		if now.Sub(c.used) < limit && c.sound() {
+			p.mu.Unlock()
+			return c, 0, nil
+		}
+		p.open--
+		c.Close()
+	}
+	if r.Limit > 0 && p.open >= r.Limit {
+		p.mu.Unlock()
+		return nil, Full, errFull
+	}
+	p.open++
+	p.mu.Unlock()
+	dials.Inc()
+	dial, cancel := context.WithTimeout(ctx, r.Connect)
+	defer cancel()
+	c, err := Dialer.DialContext(dial, "tcp", r.Address)
+	if err != nil {
+		p.mu.Lock()
+		p.open--
+		p.mu.Unlock()
+		if ctx.Err() != nil {
+			return nil, Unsent, ctx.Err()
+		}
+		return nil, Unreachable, err
+	}
+	return newConn(c), 0, nil
+}
+
+func (p *pool) give(c *conn) {
+	c.used = time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		p.open--
+		c.Close()
+		return
+	}
+	p.idle = append(p.idle, c)
+}
+
+func (p *pool) discard(c *conn) {
+	c.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
+}
+
+func (p *pool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, c := range p.idle {
+		c.Close()
+	}
+	p.open -= len(p.idle)
+	p.idle = nil
+}
--- /dev/null
+++ b/toucanstair/toucansend/sender.go
@@ -0,0 +1,254 @@
+// Package toucansend sends requests to targets over HTTP/1.1 connections that
+// it keeps, and says whether each may have run.
+package toucansend
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"toucanstair.example/core/toucanreplica"
+)
+
+const (
+	// maxBody bounds a response that is kept in memory, in bytes.
+	maxBody = 8 << 20
+	// maxStray bounds the responses of earlier requests that are skipped.
+	maxStray = 4
+	// maxInterim bounds the 1xx responses before the final one.
+	maxInterim = 8
+	// apart is the request body size, in bytes, from which the response is read
+	// while the body is still being sent.
+	apart = 8 << 10
+)
+
+var (
+	dials = metrics.NewCounter("toucan_send_dials_total")
+	stray = metrics.NewCounter("toucan_send_stray_responses_total")
+)
+
+// Dialect names the headers that the system sets and reads at targets.
+type Dialect struct {
+	Request  string // id of the request, echoed by the target
+	Deadline string // time left, in milliseconds
+	Expect   string // id of the target that is meant
+	Stamp    string // signature of a response
+	NotRun   string // set by a target that did not run the request
+	Load     string // load that a target reports
+	Cold     string // how much longer a target is cold, in milliseconds
+	Parts    string // signatures in a merged response
+	Missing  string // shards that are missing from a merged response
+
+	// ReadLoad returns the number of waiting requests in a Load header.
+	ReadLoad func(string) (waiting int, ok bool)
+}
+
+// Request is one request for one target.
+type Request struct {
+	Target  toucanreplica.ID
+	Address string
+	Method  string
+	URI     string // as the caller wrote it
+	Host    string
+	Header  http.Header // without headers of one connection
+	Body    []byte
+	ID      string
+	Limit   int // most connections to the target; 0: no limit
+	// Fresh asks for a connection that was used only a short time ago or is
+	// new, because the request can't be repeated.
+	Fresh bool
+	// Connect bounds the making of a connection.
+	Connect time.Duration
+}
+
+// Response is a complete response.
+type Response struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Fate says what became of a request without a response.
+type Fate int
+
+// The fates of a request that has no response.
+const (
+	Unknown     Fate = iota // it may have run
+	Unsent                  // no byte of it left
+	Unreachable             // no connection could be made
+	Full                    // all connections that this host may have are in use
+)
+
+// Error is a failed exchange.
+type Error struct {
+	Fate  Fate
+	Cause error
+}
+
+// Error returns the cause with what is known of the request.
+func (e *Error) Error() string {
+	words := [...]string{"the request may have run", "the request was not sent", "the target could not be reached", "no connection is free"}
+	if e.Cause == nil {
+		return words[e.Fate]
+	}
+	return words[e.Fate] + ": " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// Sender sends requests. Dialect is set before use.
+type Sender struct {
+	Dialect Dialect
+
+	pools pools
+}
+
+// Do sends a request and returns its complete response. When ctx ends first,
+// the connection is closed, which tells the target to stop. A failure is an
+// *Error.
+func (s *Sender) Do(ctx context.Context, r *Request, left time.Duration) (*Response, error) {
+	p := s.pools.of(r.Target, r.Address)
+	c, fate, err := p.take(ctx, r)
+	if err != nil {
+		return nil, &Error{fate, err}
+	}
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	res, reuse, err := s.exchange(c, r, left)
+	if !stop() || err != nil || !reuse {
+		p.discard(c)
+	} else {
+		p.give(c)
+	}
+	if err != nil {
+		return nil, &Error{Unknown, err}
+	}
+	return res, nil
+}
+
+// Retain closes the connections to targets that are not wanted any more.
+func (s *Sender) Retain(wanted func(toucanreplica.ID) bool) { s.pools.retain(wanted) }
+
+func (s *Sender) exchange(c *conn, r *Request, left time.Duration) (*Response, bool, error) {
+	head := s.head(r, left)
+	wrote := make(chan error, 1)
+	if len(r.Body) < apart {
+		if _, err := c.Write(append(head, r.Body...)); err != nil {
+			return nil, false, err
+		}
+		wrote <- nil
+	} else {
+		go func() {
+			buffers := net.Buffers{head, r.Body}
+			_, err := buffers.WriteTo(c.Conn)
+			wrote <- err
+		}()
+	}
+	res, reuse, err := s.read(c, r)
+	select {
+	case e := <-wrote:
+		return res, reuse && e == nil, err
+	default:
+		// The target answered before the body was sent. Closing ends the write.
+		c.Close()
+		<-wrote
+		return res, false, err
+	}
+}
+
+// head writes the request line and headers.
+func (s *Sender) head(r *Request, left time.Duration) []byte {
+	var b bytes.Buffer
+	b.Grow(512 + len(r.Body))
+	b.WriteString(r.Method)
+	b.WriteByte(' ')
+	b.WriteString(r.URI)
+	b.WriteString(" HTTP/1.1\r\nHost: ")
+	b.WriteString(r.Host)
+	b.WriteString("\r\n")
+	// A buffer takes every write.
+	_ = r.Header.Write(&b)
+	field := func(name, value string) {
+		b.WriteString(name)
+		b.WriteString(": ")
+		b.WriteString(value)
+		b.WriteString("\r\n")
+	}
+	field(s.Dialect.Deadline, strconv.FormatInt(max(1, left.Milliseconds()), 10))
+	field(s.Dialect.Expect, string(r.Target))
+	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		field("Content-Length", strconv.Itoa(len(r.Body)))
+	}
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
+
+var (
+	errStray    = fault("only responses to other requests arrived")
+	errTooLarge = fault("the response is larger than the limit")
+	errFull     = fault("the limit of connections to the target is reached")
+)
+
+// fault is a constant failure of an exchange.
+type fault string
+
+func (f fault) Error() string { return string(f) }
+
+// read returns the response to r. Responses that carry another id belong to
+// earlier requests and are skipped.
+func (s *Sender) read(c *conn, r *Request) (*Response, bool, error) {
+	like := &http.Request{Method: r.Method}
+	interim := 0
+	for range maxStray {
+		res, err := http.ReadResponse(c.r, like)
+		for err == nil && res.StatusCode < 200 && interim < maxInterim {
+			interim++
+			res, err = http.ReadResponse(c.r, like)
+		}
+		if err != nil {
+			return nil, false, err
+		}
+		body, err := readBody(res)
+		if err != nil {
+			return nil, false, err
+		}
+		if id := res.Header.Get(s.Dialect.Request); id != "" && id != r.ID {
+			stray.Inc()
+			if res.Close {
+				return nil, false, errStray
+			}
+			continue
+		}
+		c.keep(res.Header.Get("Keep-Alive"))
+		return &Response{res.StatusCode, res.Header, body}, !res.Close && c.r.Buffered() == 0, nil
+	}
+	return nil, false, errStray
+}
+
+func readBody(res *http.Response) ([]byte, error) {
+	defer res.Body.Close()
+	if res.ContentLength > maxBody {
+		return nil, errTooLarge
+	}
+	if n := res.ContentLength; n >= 0 {
+		b := make([]byte, n)
+		_, err := io.ReadFull(res.Body, b)
+		return b, err
+	}
+	b, err := io.ReadAll(io.LimitReader(res.Body, maxBody+1))
+	if len(b) > maxBody {
+		return nil, errTooLarge
+	}
+	return b, err
+}
+
+func newConn(c net.Conn) *conn {
+	return &conn{Conn: c, r: bufio.NewReaderSize(c, 2048)}
+}
