--- a/toucanstair/toucanentry/entry.go
+++ b/toucanstair/toucanentry/entry.go
@@ -17,10 +17,16 @@
 	"go.uber.org/zap"
 
 	"toucanstair.example/core/toucanhost"
+	"toucanstair.example/core/toucantimer"
 	"toucanstair.example/core/toucanzone"
+	"toucanstair.example/toucanstair/toucanfeed"
+	"toucanstair.example/toucanstair/toucanfleet"
 	"toucanstair.example/toucanstair/toucanfollow"
 	"toucanstair.example/toucanstair/toucanforward"
+	"toucanstair.example/toucanstair/toucanmirror"
 	"toucanstair.example/toucanstair/toucanquota"
+	"toucanstair.example/toucanstair/toucanreader"
+	"toucanstair.example/toucanstair/toucanregister"
 	"toucanstair.example/toucanstair/toucanroster"
 	"toucanstair.example/toucanstair/toucanrules"
 	"toucanstair.example/toucanstair/toucansend"
@@ -39,9 +45,12 @@
 	graceSpare = 400 * time.Millisecond
 	// memoryShare is the part of the memory limit that the heap may take.
 	memoryShare = 0.7
-	// quotaShare is the part of the operators' bound on repeats that is used,
-	// since hosts that start again begin with a full bucket.
-	quotaShare = 0.8
+	// slackShare and ratioShare are the parts of the operators' bound on repeats
+	// that are used; the rest is for hosts that start again with full buckets.
+	slackShare = 0.7
+	ratioShare = 0.95
+	// shareTime is how often the number of hosts is looked at.
+	shareTime = time.Second
 )
 
 // Settings says where a host runs and what bounds it.
@@ -57,9 +66,9 @@
 	Grace   time.Duration
 	Hosts   int // hosts that run at the same time, at least
 	Repeats Repeats
-	Orders  string // prefix of rules and orders in the store
-	Targets string // prefix of the list of targets in the store
-	Check   string // path of the readiness question
+	Within  time.Duration // in which a change of the store must be in effect
+	Feed    string        // "ip:port" for the other hosts; "": none
+	Check   string        // path of the readiness question
 }
 
 // Repeats is the operators' bound on requests that are sent again.
@@ -68,12 +77,17 @@
 	Slack float64 // requests beyond that in one window, all hosts together
 }
 
+type store interface {
+	toucanfollow.Store
+	toucanregister.Store
+}
+
 // Entry is an entry host. Its fields are set before Run.
 type Entry struct {
 	Settings Settings
 	Dialect  toucansend.Dialect
-	Store    toucanfollow.Store
-	Decode   func(toucanfollow.Item) (toucanfollow.Change, error)
+	Store    store
+	Decode   func(toucanmirror.Item) (toucanfollow.Change, error)
 	Log      *zap.Logger
 
 	stopping atomic.Bool
@@ -90,19 +104,31 @@
 	defer cancel()
 	roster := &toucanroster.Roster{}
 	sender := &toucansend.Sender{Dialect: e.Dialect}
+	self := toucanreader.Peer{ID: s.Name, Zone: s.Zone, Address: s.Feed}
+	mirror := &toucanmirror.Mirror{Notable: toucanfollow.Notable(e.Decode)}
 	follower := &toucanfollow.Follower{
-		Store: e.Store, Decode: e.Decode, Orders: s.Orders, Targets: s.Targets, Roster: roster, Log: e.Log,
+		Store: e.Store, Decode: e.Decode, Self: self, Within: s.Within, Mirror: mirror, Roster: roster, Log: e.Log,
 		Swept: func() { sender.Retain(roster.Has) },
 	}
-	hosts := max(1, s.Hosts)
+	fleet := &toucanfleet.Fleet{Self: self, Peers: follower.Peers, Least: max(1, s.Hosts)}
+	quota := &toucanquota.Quota{Ratio: ratioShare * s.Repeats.Ratio}
+	quota.SetBurst(slackShare * s.Repeats.Slack / float64(fleet.Hosts()))
 	forwarder := &toucanforward.Forwarder{
 		Dialect: e.Dialect, Guide: follower, Roster: roster, Sender: sender, Log: e.Log,
 		Chooser: &toucanroster.Chooser{Zone: s.Zone, Region: s.Region, Places: s.Places},
-		Quota:   &toucanquota.Quota{Ratio: quotaShare * s.Repeats.Ratio, Burst: quotaShare * s.Repeats.Slack / float64(hosts)},
-		Hosts:   func() int { return hosts },
+		Quota:   quota,
+		Share:   fleet.Share,
 		Closing: e.stopping.Load,
 	}
-	followed := follower.Run(work)
+	ended := []<-chan error{follower.Run(work)}
+	if s.Feed != "" {
+		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.Feed)
+		if err != nil {
+			return err
+		}
+		ended = append(ended, (&toucanfeed.Server{Mirror: mirror}).Serve(work, l), (&toucanregister.Register{Store: e.Store, Self: self, Log: e.Log}).Run(work))
+	}
+	go e.share(work, quota, fleet)
 	front := e.server(forwarder)
 	ready := e.server(e.readiness(follower))
 	ends := make(chan error, 3)
@@ -123,7 +149,18 @@
 	}
 	err := e.stop(ctx, front)
 	cancel()
-	return errors.Join(err, <-followed)
+	for _, end := range ended {
+		err = errors.Join(err, <-end)
+	}
+	return err
+}
+
+// share divides the operators' bound on repeats among the hosts as they come
+// and go.
+func (e *Entry) share(ctx context.Context, q *toucanquota.Quota, f *toucanfleet.Fleet) {
+	for toucantimer.Wait(ctx, shareTime) {
+		q.SetBurst(slackShare * e.Settings.Repeats.Slack / float64(f.Hosts()))
+	}
 }
 
 // wait returns nil when a signal asks for a stop, or the failure of a listener.
--- /dev/null
+++ b/toucanstair/toucanfeed/client.go
@@ -0,0 +1,72 @@
+package toucanfeed
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"toucanstair.example/core/toucanpb"
+	"toucanstair.example/toucanstair/toucanmirror"
+	"toucanstair.example/toucanstair/toucansend"
+)
+
+// Limits says when a feed is given up.
+type Limits struct {
+	Silence time.Duration // without any message
+	Age     time.Duration // of what the other host knows
+}
+
+// Error is a feed that was given up.
+type Error struct {
+	Address string
+	Why     string
+	Age     time.Duration // of what the other host knew
+}
+
+func (e *Error) Error() string {
+	return "feed of " + e.Address + ": " + e.Why + " (age " + e.Age.String() + ")"
+}
+
+// Follow hands the batches of the host at an address to take until the feed
+// fails, which it returns. take is given the moment at which the store
+// confirmed a batch.
+func Follow(ctx context.Context, address string, after uint64, l Limits, take func(toucanmirror.Batch, time.Time)) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	conn, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(dial), grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)))
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	silent := time.AfterFunc(l.Silence, cancel)
+	defer silent.Stop()
+	stream, err := toucanpb.NewFeedClient(conn).Follow(ctx, &toucanpb.FollowRequest{After: after})
+	if err != nil {
+		return err
+	}
+	for {
+		r, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		silent.Reset(l.Silence)
+		age := time.Duration(r.GetAge())
+		if age > l.Age {
+			return &Error{address, "the host has lost the store", age}
+		}
+		b := toucanmirror.Batch{Whole: r.GetWhole(), At: r.GetRevision()}
+		for _, it := range r.GetRecords() {
+			b.Items = append(b.Items, toucanmirror.Item{Key: it.GetKey(), Value: it.GetValue(), Revision: it.GetRevision(), Gone: it.GetGone()})
+		}
+		take(b, time.Now().Add(-age))
+	}
+}
+
+func dial(ctx context.Context, address string) (net.Conn, error) {
+	return toucansend.Dialer.DialContext(ctx, "tcp", address)
+}
--- a/toucanstair/toucanfollow/follower.go
+++ b/toucanstair/toucanfollow/follower.go
@@ -1,5 +1,5 @@
-// Package toucanfollow follows the operators' rules and orders and the list of
-// targets in a store, through its failures.
+// Package toucanfollow follows the operators' rules and orders, the list of
+// targets and the other hosts, in a store or through another host.
 package toucanfollow
 
 import (
@@ -7,6 +7,7 @@
 	"errors"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,35 +15,51 @@
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
+	"toucanstair.example/core/toucanhost"
 	"toucanstair.example/core/toucanreplica"
 	"toucanstair.example/core/toucantimer"
 	"toucanstair.example/core/toucanzone"
+	"toucanstair.example/toucanstair/toucanfeed"
+	"toucanstair.example/toucanstair/toucanmirror"
+	"toucanstair.example/toucanstair/toucanreader"
 	"toucanstair.example/toucanstair/toucanroster"
 	"toucanstair.example/toucanstair/toucanrules"
 )
 
 const (
-	// pollWait is how long the store may hold a watch. It is short because a
-	// watch whose connection has gone silent ends only after this time.
-	pollWait = 4 * time.Second
-	// pollSpare is how much longer than pollWait a watch may take.
+	// pollShare is how long the store may hold a watch, as a part of the time
+	// within which changes must be in effect. A watch whose connection has gone
+	// silent ends only after this time.
+	pollShare = 0.4
+	// pollSpare is how much longer than that a watch may take.
 	pollSpare = 1200 * time.Millisecond
 	// listTime bounds one listing.
 	listTime = 3 * time.Second
-	// listPause gathers the changes of targets that beat about each second, so
-	// that they cost one call instead of one each.
-	listPause = 650 * time.Millisecond
+	// pauseShare is the part of the time within which changes must be in effect
+	// that a host waits between two watches. Targets beat about each second, and
+	// each call counts.
+	pauseShare = 0.28
+	// backlog is the number of changes in one reply that shows that more wait.
+	backlog = 150
 	// retryFirst and retryMost bound the pause after a failed call.
 	retryFirst = 150 * time.Millisecond
 	retryMost  = 900 * time.Millisecond
 	// unsureFor is how long after a failed call the list counts as uncertain.
 	unsureFor = 5 * time.Second
 	sweepTime = 250 * time.Millisecond
+	// holdTime is how long a host stays with a source that is not the best
+	// before it tries a better one.
+	holdTime = 6 * time.Second
+	// feedSilence is how long a feed may be silent; it sends twice a second.
+	feedSilence = 1400 * time.Millisecond
+	// ageShare is the part of the time for changes by which a feed may lag.
+	ageShare = 0.6
 )
 
 var (
 	calls    = metrics.NewCounter("toucan_follow_calls_total")
 	failures = metrics.NewCounter("toucan_follow_failures_total")
+	feeds    = metrics.NewCounter("toucan_follow_feeds_total")
 )
 
 // ErrCompacted means that the store no longer has the changes that were asked
@@ -53,50 +70,47 @@
 
 func (compacted) Error() string { return "the store no longer has these changes" }
 
-// Item is one key of the store.
-type Item struct {
-	Key      string
-	Revision uint64
-	Value    []byte
-	Gone     bool // removed at Revision
-}
-
-// Change is what an item says. Exactly one of its parts is set, none when the
-// item says nothing that concerns this host.
+// Change is what an item says. At most one of its parts is set.
 type Change struct {
 	Rules  *toucanrules.Rules
 	Target *toucanroster.Entry
 	Left   toucanreplica.ID // a target whose entry is gone
 	Zone   toucanzone.Name  // a zone whose evacuation starts or ends
 	Out    bool
+	Peer   *toucanreader.Peer // a host
+	Parted toucanhost.ID      // a host whose entry is gone
 }
 
 // Store is the platform's store, as far as it is read here.
 type Store interface {
-	// List returns the items under a prefix and a revision from which a watch
-	// sees every later change.
-	List(ctx context.Context, prefix string) ([]Item, uint64, error)
+	// List returns all items and a revision from which a watch sees every later
+	// change. What it returns may be some seconds old where stale is set.
+	List(ctx context.Context, stale bool) ([]toucanmirror.Item, uint64, error)
 	// Watch waits for changes after a revision; ErrCompacted means that they
 	// are no longer there.
-	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Item, uint64, error)
+	Watch(ctx context.Context, after uint64, wait time.Duration) ([]toucanmirror.Item, uint64, error)
 }
 
 // Follower keeps what the store says. Its exported fields are set before Run.
 type Follower struct {
-	Store   Store
-	Decode  func(Item) (Change, error)
-	Orders  string // prefix of rules and orders
-	Targets string // prefix of the list of targets
-	Roster  *toucanroster.Roster
-	Log     *zap.Logger
-	Swept   func() // called when targets were forgotten; may be nil
+	Store  Store
+	Decode func(toucanmirror.Item) (Change, error)
+	Self   toucanreader.Peer
+	Within time.Duration // in which a change must be in effect
+	Mirror *toucanmirror.Mirror
+	Roster *toucanroster.Roster
+	Log    *zap.Logger
+	Swept  func() // called when targets were forgotten; may be nil
 
+	mu       sync.Mutex // serializes batches
 	rules    atomic.Pointer[toucanrules.Rules]
-	revision atomic.Uint64 // of the rules
+	revision uint64 // of the rules
 	out      atomic.Pointer[map[toucanzone.Name]bool]
-	mu       sync.Mutex // serializes changes of rules and orders
+	peers    atomic.Pointer[map[toucanhost.ID]toucanreader.Peer]
 	listed   atomic.Bool
 	unsure   atomic.Int64 // last failure, Unix nanoseconds
+	stale    bool         // the last whole list may have been old
+	lost     bool
 }
 
 // Rules returns the newest rules, or nil before there are any.
@@ -110,6 +124,14 @@
 	return nil
 }
 
+// Peers returns the hosts that are listed, this one included once it is.
+func (f *Follower) Peers() []toucanreader.Peer {
+	if m := f.peers.Load(); m != nil {
+		return slices.Collect(maps.Values(*m))
+	}
+	return nil
+}
+
 // Ready reports whether there are rules and a list of targets.
 func (f *Follower) Ready() bool { return f.rules.Load() != nil && f.listed.Load() }
 
@@ -117,8 +139,7 @@
 func (f *Follower) Run(ctx context.Context) <-chan error {
 	end := make(chan error, 1)
 	var group sync.WaitGroup
-	group.Go(func() { f.follow(ctx, f.Orders, 0, f.orders) })
-	group.Go(func() { f.follow(ctx, f.Targets, listPause, f.targets) })
+	group.Go(func() { f.follow(ctx) })
 	group.Go(func() { f.sweep(ctx) })
 	go func() {
 		group.Wait()
@@ -127,137 +148,152 @@
 	return end
 }
 
-// follow lists a prefix and then watches it, and lists it again when the
-// store has forgotten changes.
-func (f *Follower) follow(ctx context.Context, prefix string, pause time.Duration, take func([]Item, bool)) {
-	after, fails, lost := uint64(0), 0, false
+// follow learns from the best source that works, and now and then tries a
+// better one.
+func (f *Follower) follow(ctx context.Context) {
+	fails, skip := 0, 0
+	until := time.Time{}
 	for ctx.Err() == nil {
-		var items []Item
-		var at uint64
+		if skip > 0 && time.Now().After(until) {
+			skip = 0
+		}
+		sources := toucanreader.Order(f.Self, f.Peers())
+		s := sources[min(skip, len(sources)-1)]
+		began := time.Now()
 		var err error
-		calls.Inc()
-		whole := after == 0
-		if whole {
-			items, at, err = f.list(ctx, prefix)
+		if s.Store() {
+			err = f.direct(ctx, until)
 		} else {
-			items, at, err = f.watch(ctx, prefix, after)
+			feeds.Inc()
+			err = f.feed(ctx, s.Peer, skip > 0, until)
 		}
 		if ctx.Err() != nil {
 			return
 		}
-		if errors.Is(err, ErrCompacted) {
-			f.Log.Info("the store has compacted its changes, listing again", zap.String("prefix", prefix), zap.Uint64("after", after))
-			after = 0
-			continue
-		}
-		if err != nil {
-			failures.Inc()
-			f.unsure.Store(time.Now().UnixNano())
-			if fails++; fails == 1 {
-				lost = true
-				f.Log.Warn("dependency lost: store", zap.String("prefix", prefix), zap.Uint64("after", after), zap.Error(err))
-			}
-			toucantimer.Wait(ctx, backoff(fails))
+		if err == nil {
+			fails = 0
 			continue
 		}
-		if lost {
-			f.unsure.Store(time.Now().UnixNano())
-			f.Log.Info("dependency regained: store", zap.String("prefix", prefix), zap.Int("failures", fails), zap.Uint64("revision", at))
+		f.failed(s, err)
+		if time.Since(began) > retryMost {
+			fails = 0
 		}
-		fails, lost = 0, false
-		take(items, whole)
-		after = max(after, at, 1)
-		if len(items) > 0 {
-			toucantimer.Wait(ctx, pause)
+		fails++
+		until = time.Now().Add(holdTime)
+		if skip++; skip >= len(sources) {
+			skip = 0
+			toucantimer.Wait(ctx, backoff(fails))
 		}
 	}
 }
 
+func (f *Follower) failed(s toucanreader.Source, err error) {
+	failures.Inc()
+	if s.Store() {
+		f.unsure.Store(time.Now().UnixNano())
+	}
+	f.lost = true
+	f.Log.Warn("dependency lost", zap.String("source", name(s)), zap.Uint64("revision", f.Mirror.At()),
+		zap.Duration("age", f.Mirror.Age(time.Now())), zap.Error(err))
+}
+
+func name(s toucanreader.Source) string {
+	if s.Store() {
+		return "store"
+	}
+	return "host " + string(s.Peer.ID)
+}
+
+func (f *Follower) regained(s toucanreader.Source) {
+	if !f.lost {
+		return
+	}
+	f.lost = false
+	if s.Store() {
+		f.unsure.Store(time.Now().UnixNano())
+	}
+	f.Log.Info("dependency regained", zap.String("source", name(s)), zap.Uint64("revision", f.Mirror.At()))
+}
+
 func backoff(fails int) time.Duration {
 	d := min(retryMost, retryFirst<<min(fails-1, 4))
 	return d/2 + rand.N(d/2)
 }
 
-func (f *Follower) list(ctx context.Context, prefix string) ([]Item, uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, listTime)
+// feed follows another host until that fails, or until a moment where there
+// is a better source to try.
+func (f *Follower) feed(ctx context.Context, p toucanreader.Peer, bounded bool, until time.Time) error {
+	inner, cancel := context.WithCancel(ctx)
 	defer cancel()
-	return f.Store.List(ctx, prefix)
-}
-
-func (f *Follower) watch(ctx context.Context, prefix string, after uint64) ([]Item, uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, pollWait+pollSpare)
-	defer cancel()
-	return f.Store.Watch(ctx, prefix, after, pollWait)
+	if bounded {
+		inner, cancel = context.WithDeadline(ctx, until)
+		defer cancel()
+	}
+	limits := toucanfeed.Limits{Silence: feedSilence, Age: time.Duration(ageShare * float64(f.Within))}
+	err := toucanfeed.Follow(inner, p.Address, f.Mirror.At(), limits, func(b toucanmirror.Batch, confirmed time.Time) {
+		f.apply(b, confirmed)
+		f.regained(toucanreader.Source{Peer: p})
+	})
+	if bounded && inner.Err() != nil && ctx.Err() == nil {
+		return nil
+	}
+	return err
 }
 
-// orders takes in rules and orders. A revision of the rules that is not above
-// the one in effect is ignored.
-func (f *Follower) orders(items []Item, whole bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	out := make(map[toucanzone.Name]bool)
-	if !whole {
-		maps.Copy(out, f.Out())
-	}
-	for _, it := range items {
-		c, err := f.Decode(it)
-		if err != nil {
-			f.Log.Warn("an order can't be read and is ignored", zap.String("key", it.Key), zap.Uint64("revision", it.Revision), zap.Error(err))
-			continue
-		}
-		if c.Zone != "" {
-			f.Log.Info("evacuation changed", zap.String("evacuated", string(c.Zone)), zap.Bool("out", c.Out), zap.Uint64("revision", it.Revision))
-			if c.Out {
-				out[c.Zone] = true
-			} else {
-				delete(out, c.Zone)
-			}
+// direct reads the store until that fails, or until this host should learn
+// from another source.
+func (f *Follower) direct(ctx context.Context, until time.Time) error {
+	for ctx.Err() == nil {
+		if err := f.read(ctx); err != nil {
+			return err
 		}
-		if c.Rules != nil {
-			f.adopt(c.Rules, it.Revision)
+		f.regained(toucanreader.Source{})
+		if first := toucanreader.Order(f.Self, f.Peers())[0]; !first.Store() && time.Now().After(until) {
+			return nil
 		}
 	}
-	f.out.Store(&out)
+	return nil
 }
 
-func (f *Follower) adopt(r *toucanrules.Rules, revision uint64) {
-	if revision <= f.revision.Load() {
-		return
+// read makes one call: a listing first, and watches after that.
+func (f *Follower) read(ctx context.Context) error {
+	calls.Inc()
+	began := time.Now()
+	after := f.Mirror.At()
+	if after == 0 {
+		return f.list(ctx)
 	}
-	r.Index()
-	f.revision.Store(revision)
-	f.rules.Store(r)
-	f.Log.Info("rules reloaded", zap.Uint64("version", r.Version), zap.Uint64("revision", revision), zap.Int("routes", len(r.Routes)))
+	hold := time.Duration(pollShare * float64(f.Within))
+	wait, cancel := context.WithTimeout(ctx, hold+pollSpare)
+	defer cancel()
+	items, at, err := f.Store.Watch(wait, after, hold)
+	if errors.Is(err, ErrCompacted) {
+		f.Log.Info("the store has compacted its changes, listing again", zap.Uint64("after", after))
+		return f.list(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	f.apply(toucanmirror.Batch{Items: items, At: at}, time.Now())
+	if len(items) > 0 && len(items) < backlog {
+		toucantimer.Wait(ctx, time.Duration(pauseShare*float64(f.Within))-time.Since(began))
+	}
+	return nil
 }
 
-// targets takes in entries of targets.
-func (f *Follower) targets(items []Item, whole bool) {
-	now := time.Now()
-	listed := make(map[toucanreplica.ID]bool, len(items))
-	for _, it := range items {
-		c, err := f.Decode(it)
-		if err != nil {
-			f.Log.Info("an entry of a target can't be read", zap.String("key", it.Key), zap.Uint64("revision", it.Revision), zap.Error(err))
-		}
-		switch {
-		case c.Target != nil:
-			listed[c.Target.ID] = true
-			if f.Roster.Put(*c.Target, now) && !whole {
-				f.Log.Info("target listed", zap.String("target", string(c.Target.ID)), zap.String("service", string(c.Target.Service)), zap.Uint64("revision", it.Revision))
-			}
-			if c.Target.Draining {
-				f.Log.Info("target draining", zap.String("target", string(c.Target.ID)), zap.Uint64("revision", it.Revision))
-			}
-		case c.Left != "":
-			f.Roster.Drop(c.Left, now)
-			f.Log.Info("entry of target gone", zap.String("target", string(c.Left)), zap.Uint64("revision", it.Revision))
-		}
-	}
-	if whole {
-		f.Roster.Keep(listed, now)
-		f.listed.Store(true)
-		f.Log.Info("targets listed", zap.Int("targets", len(listed)))
+// list takes in the whole store. The first list of a host may be old, since
+// the watch after it brings the rest.
+func (f *Follower) list(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, listTime)
+	defer cancel()
+	stale := f.Mirror.At() == 0 && !f.stale
+	f.stale = stale
+	items, at, err := f.Store.List(ctx, stale)
+	if err != nil {
+		return err
 	}
+	f.apply(toucanmirror.Batch{Items: items, Whole: true, At: at}, time.Now())
+	return nil
 }
 
 func (f *Follower) sweep(ctx context.Context) {
--- a/toucanstair/toucanforward/forwarder.go
+++ b/toucanstair/toucanforward/forwarder.go
@@ -58,7 +58,7 @@
 	Chooser *toucanroster.Chooser
 	Quota   *toucanquota.Quota
 	Sender  sender
-	Hosts   func() int // hosts that share the connections of targets
+	Share   func() float64 // part of the connections of a target that are this host's
 	Log     *zap.Logger
 	// Closing reports whether connections are closed after their response.
 	Closing func() bool
--- a/toucanstair/toucanforward/leg.go
+++ b/toucanstair/toucanforward/leg.go
@@ -1,6 +1,7 @@
 package toucanforward
 
 import (
+	"math"
 	"net/http"
 	"slices"
 	"strconv"
@@ -28,11 +29,13 @@
 	hedgeAgain = 15 * time.Millisecond
 	// refusedPause is the pause before a target that refused is asked again.
 	refusedPause = 12 * time.Millisecond
-	// retryReserve is how many tokens hedges leave to retries.
-	retryReserve = 2
+	// retryReserve is the part of the tokens that hedges leave to retries.
+	retryReserve = 0.25
 	// connectionShare is the share of a target's connections that the hosts use
 	// together; the rest is for hosts that start while others still run.
 	connectionShare = 0.9
+	// leastConnections lets a second request pass one that a target holds up.
+	leastConnections = 2
 )
 
 var (
@@ -288,5 +291,5 @@
 	if all <= 0 {
 		return 0
 	}
-	return max(1, int(connectionShare*float64(all))/max(1, f.Hosts()))
+	return max(leastConnections, int(math.Ceil(connectionShare*float64(all)*f.Share())))
 }
--- a/toucanstair/toucanquota/quota.go
+++ b/toucanstair/toucanquota/quota.go
@@ -38,12 +38,12 @@
 	q.services[s] = max(0, q.services[s]-q.Ratio)
 }
 
-// Take takes a token for a repeat, leaving at least reserve tokens, and
-// reports whether there was one.
+// Take takes a token for a repeat, leaving at least the reserve, a part of a
+// full bucket, and reports whether there was one.
 func (q *Quota) Take(s toucanservice.Name, reserve float64) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.services[s]+1+reserve > q.Burst {
+	if q.services[s]+1+reserve*q.Burst > q.Burst {
 		return false
 	}
 	if q.services == nil {
