--- a/toucanstair/toucanforward/leg.go
+++ b/toucanstair/toucanforward/leg.go
@@ -25,6 +25,8 @@
 	hedgeLeast = 12 * time.Millisecond
 	// hedgeSpread is how many deviations a response may be later than usual.
 	hedgeSpread = 3
+	// hedgeSpare is how much earlier than it must a second target is asked.
+	hedgeSpare = 8 * time.Millisecond
 	// hedgeAgain is the pause after a hedge that was not possible.
 	hedgeAgain = 15 * time.Millisecond
 	// refusedPause is the pause before a target that refused is asked again.
@@ -83,7 +85,7 @@
 		return
 	}
 	l.tried = append(l.tried, t.ID)
-	l.wake = g.hedgeAt(t, expect, now)
+	l.wake = g.hedgeAt(l, t, expect, now)
 	g.send(i, t, now)
 }
 
@@ -124,7 +126,10 @@
 	g.plan.Lost()
 }
 
-func (g *flight) hedgeAt(t *toucanroster.Target, expect time.Duration, now time.Time) time.Time {
+// hedgeAt returns when a leg is sent to a second target: when the first one is
+// later than usual, but early enough for the second to respond before the
+// response is due.
+func (g *flight) hedgeAt(l *leg, t *toucanroster.Target, expect time.Duration, now time.Time) time.Time {
 	if !g.route.Idempotent || g.route.Attempts < 2 {
 		return time.Time{}
 	}
@@ -133,6 +138,12 @@
 	if v.Latency > 0 {
 		wait = v.Latency + hedgeSpread*v.Spread
 	}
+	if g.plan.Due.After(now) {
+		need := g.f.need(g.route, append(slices.Clone(l.tried), l.refused...))
+		if other, takes := g.f.Chooser.Choose(g.f.Roster.Listed(l.service), need, now); other != nil {
+			wait = min(wait, g.plan.Due.Sub(now)-takes-hedgeSpare)
+		}
+	}
 	return now.Add(max(hedgeLeast, wait))
 }
 
