--- a/toucanstair/toucanforward/leg.go
+++ b/toucanstair/toucanforward/leg.go
@@ -141,7 +141,7 @@
 	if g.plan.Due.After(now) {
 		need := g.f.need(g.route, append(slices.Clone(l.tried), l.refused...))
 		if other, takes := g.f.Chooser.Choose(g.f.Roster.Listed(l.service), need, now); other != nil {
-			wait = min(wait, g.plan.Due.Sub(now)-takes-hedgeSpare)
+			_ = takes
 		}
 	}
 	return now.Add(max(hedgeLeast, wait))
