--- a/toucanstair/toucanentry/entry.go
+++ b/toucanstair/toucanentry/entry.go
@@ -105,7 +105,7 @@
 	roster := &toucanroster.Roster{}
 	sender := &toucansend.Sender{Dialect: e.Dialect}
 	self := toucanreader.Peer{ID: s.Name, Zone: s.Zone, Address: s.Feed}
-	mirror := &toucanmirror.Mirror{Notable: toucanfollow.Notable(e.Decode)}
+	mirror := &toucanmirror.Mirror{}
 	follower := &toucanfollow.Follower{
 		Store: e.Store, Decode: e.Decode, Self: self, Within: s.Within, Mirror: mirror, Roster: roster, Log: e.Log,
 		Swept: func() { sender.Retain(roster.Has) },
--- a/toucanstair/toucanfollow/apply.go
+++ b/toucanstair/toucanfollow/apply.go
@@ -12,44 +12,89 @@
 	"toucanstair.example/toucanstair/toucanreader"
 )
 
+// coldRise is the rise of a target's cold time that shows that it turned cold
+// again; beats only lower it.
+const coldRise = 500 * time.Millisecond
+
 // apply takes in a batch and acts on what changed.
 func (f *Follower) apply(b toucanmirror.Batch, confirmed time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	notable, minor := f.Mirror.Apply(b, confirmed)
-	out, peers := maps.Clone(f.Out()), map[toucanhost.ID]toucanreader.Peer(nil)
-	if m := f.peers.Load(); m != nil {
-		peers = maps.Clone(*m)
-	}
-	if out == nil {
-		out = make(map[toucanzone.Name]bool)
-	}
-	if peers == nil {
-		peers = make(map[toucanhost.ID]toucanreader.Peer)
+	if f.said == nil {
+		f.said = make(map[string]Change)
+		f.Mirror.Notable = f.notable
 	}
+	notable, minor := f.Mirror.Apply(b, confirmed)
 	now := time.Now()
 	for _, it := range minor {
-		// A minor change is one of a target's beats.
-		if c, err := f.Decode(it); err == nil && c.Target != nil {
+		// A minor change is one of a target's beats, which may lower its cold time.
+		if c := f.reads(it); c.Target != nil && c.Target.Cold > 0 {
 			f.Roster.Put(*c.Target, now)
 		}
 	}
-	for _, it := range notable {
-		c, err := f.Decode(it)
-		if err != nil {
-			f.Log.Warn("a key can't be read", zap.String("key", it.Key), zap.Uint64("revision", it.Revision), zap.Error(err))
-		}
-		f.act(c, it, out, peers, now)
-	}
 	if len(notable) > 0 {
-		f.out.Store(&out)
-		f.peers.Store(&peers)
+		f.note(notable, now)
 	}
+	clear(f.batch)
 	if f.Mirror.At() > 0 && f.listed.CompareAndSwap(false, true) {
 		f.Log.Info("store read", zap.Uint64("revision", f.Mirror.At()), zap.Int("targets", f.Roster.Size()))
 	}
 }
 
+// note acts on notable changes.
+func (f *Follower) note(items []toucanmirror.Item, now time.Time) {
+	out, peers := make(map[toucanzone.Name]bool), make(map[toucanhost.ID]toucanreader.Peer)
+	maps.Copy(out, f.Out())
+	if m := f.peers.Load(); m != nil {
+		maps.Copy(peers, *m)
+	}
+	for _, it := range items {
+		c := f.reads(it)
+		if it.Gone {
+			delete(f.said, it.Key)
+		} else {
+			f.said[it.Key] = c
+		}
+		f.act(c, it, out, peers, now)
+	}
+	f.out.Store(&out)
+	f.peers.Store(&peers)
+}
+
+type version struct {
+	key      string
+	revision uint64
+}
+
+// reads decodes an item, once in each batch.
+func (f *Follower) reads(it toucanmirror.Item) Change {
+	v := version{it.Key, it.Revision}
+	if c, ok := f.batch[v]; ok {
+		return c
+	}
+	c, err := f.Decode(it)
+	if err != nil {
+		f.Log.Warn("a key can't be read", zap.String("key", it.Key), zap.Uint64("revision", it.Revision), zap.Error(err))
+	}
+	if f.batch == nil {
+		f.batch = make(map[version]Change)
+	}
+	f.batch[v] = c
+	return c
+}
+
+// notable reports whether a new value of a key matters to hosts: beats of
+// targets that change nothing else do not.
+func (f *Follower) notable(_, item toucanmirror.Item) bool {
+	a, b := f.said[item.Key].Target, f.reads(item).Target
+	if a == nil || b == nil || b.Cold > a.Cold+coldRise {
+		return true
+	}
+	same := *a
+	same.Cold = b.Cold
+	return same != *b
+}
+
 func (f *Follower) act(c Change, it toucanmirror.Item, out map[toucanzone.Name]bool, peers map[toucanhost.ID]toucanreader.Peer, now time.Time) {
 	switch {
 	case c.Rules != nil:
@@ -84,23 +129,3 @@
 		f.Log.Info("host gone", zap.String("peer", string(c.Parted)), zap.Uint64("revision", it.Revision))
 	}
 }
-
-// Notable reports whether a new value of a key matters to hosts: beats of
-// targets that change nothing else do not.
-func Notable(decode func(toucanmirror.Item) (Change, error)) func(old, new toucanmirror.Item) bool {
-	// coldRise is the rise of a target's cold time that shows that it turned cold
-	// again; beats only lower it.
-	const coldRise = 500 * time.Millisecond
-	return func(old, new toucanmirror.Item) bool {
-		a, errA := decode(old)
-		b, errB := decode(new)
-		if errA != nil || errB != nil || a.Target == nil || b.Target == nil {
-			return true
-		}
-		if b.Target.Cold > a.Target.Cold+coldRise {
-			return true
-		}
-		a.Target.Cold = b.Target.Cold
-		return *a.Target != *b.Target
-	}
-}
--- a/toucanstair/toucanfollow/follower.go
+++ b/toucanstair/toucanfollow/follower.go
@@ -39,8 +39,8 @@
 	// that a host waits between two watches. Targets beat about each second, and
 	// each call counts.
 	pauseShare = 0.28
-	// backlog is the number of changes in one reply that shows that more wait.
-	backlog = 150
+	// caughtUp is the number of changes in one reply below which none wait.
+	caughtUp = 20
 	// retryFirst and retryMost bound the pause after a failed call.
 	retryFirst = 150 * time.Millisecond
 	retryMost  = 900 * time.Millisecond
@@ -111,6 +111,9 @@
 	unsure   atomic.Int64 // last failure, Unix nanoseconds
 	stale    bool         // the last whole list may have been old
 	lost     bool
+	behind   bool              // changes may wait that were made while the source was lost
+	said     map[string]Change // of the last notable value of each key
+	batch    map[version]Change
 }
 
 // Rules returns the newest rules, or nil before there are any.
@@ -192,7 +195,7 @@
 	if s.Store() {
 		f.unsure.Store(time.Now().UnixNano())
 	}
-	f.lost = true
+	f.lost, f.behind = true, true
 	f.Log.Warn("dependency lost", zap.String("source", name(s)), zap.Uint64("revision", f.Mirror.At()),
 		zap.Duration("age", f.Mirror.Age(time.Now())), zap.Error(err))
 }
@@ -275,7 +278,9 @@
 		return err
 	}
 	f.apply(toucanmirror.Batch{Items: items, At: at}, time.Now())
-	if len(items) > 0 && len(items) < backlog {
+	if f.behind {
+		f.behind = len(items) >= caughtUp
+	} else if len(items) > 0 {
 		toucantimer.Wait(ctx, time.Duration(pauseShare*float64(f.Within))-time.Since(began))
 	}
 	return nil
--- a/toucanstair/toucansend/pool.go
+++ b/toucanstair/toucansend/pool.go
@@ -21,6 +21,9 @@
 	// freshFor is how long after its last use a connection may carry a request
 	// that can't be repeated.
 	freshFor = 2 * time.Second
+	// trustFor is how long after its last use a connection is taken to be open
+	// without a look.
+	trustFor = 100 * time.Millisecond
 	// probeIdle, probeEvery and probeCount end a connection whose other side
 	// is silent after about 3 s.
 	probeIdle  = time.Second
@@ -133,7 +136,7 @@
 		if r.Fresh {
 			limit = min(limit, freshFor)
 		}
-		if now.Sub(c.used) < limit && c.sound() {
+		if idle := now.Sub(c.used); idle < limit && (idle < trustFor && !r.Fresh || c.sound()) {
 			p.mu.Unlock()
 			return c, 0, nil
 		}
