--- a/toucanstair/toucanentry/entry.go
+++ b/toucanstair/toucanentry/entry.go
@@ -47,7 +47,7 @@
 	memoryShare = 0.7
 	// slackShare and ratioShare are the parts of the operators' bound on repeats
 	// that are used; the rest is for hosts that start again with full buckets.
-	slackShare = 0.7
+	slackShare = 0.9
 	ratioShare = 0.95
 	// shareTime is how often the number of hosts is looked at.
 	shareTime = time.Second
--- a/toucanstair/toucanfollow/follower.go
+++ b/toucanstair/toucanfollow/follower.go
@@ -52,8 +52,9 @@
 	holdTime = 6 * time.Second
 	// feedSilence is how long a feed may be silent; it sends twice a second.
 	feedSilence = 1400 * time.Millisecond
-	// ageShare is the part of the time for changes by which a feed may lag.
-	ageShare = 0.6
+	// ageShare is the part of the time for changes by which a feed may lag: a
+	// pause, an empty watch and some time for the way.
+	ageShare = 0.8
 )
 
 var (
--- a/toucanstair/toucanquota/quota.go
+++ b/toucanstair/toucanquota/quota.go
@@ -18,9 +18,13 @@
 	Burst float64
 
 	mu       sync.Mutex
-	services map[toucanservice.Name]float64 // tokens missing from a full bucket
+	services map[toucanservice.Name]float64 // tokens held
 }
 
+// startShare is the part of a bucket that is full at first, since a host that
+// starts may follow one that has just spent its tokens.
+const startShare = 0.4
+
 // SetBurst changes the size of the buckets.
 func (q *Quota) SetBurst(b float64) {
 	q.mu.Lock()
@@ -32,10 +36,7 @@
 func (q *Quota) Earn(s toucanservice.Name) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.services == nil {
-		q.services = make(map[toucanservice.Name]float64)
-	}
-	q.services[s] = max(0, q.services[s]-q.Ratio)
+	q.services[s] = min(q.Burst, q.held(s)+q.Ratio)
 }
 
 // Take takes a token for a repeat, leaving at least the reserve, a part of a
@@ -43,12 +44,21 @@
 func (q *Quota) Take(s toucanservice.Name, reserve float64) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.services[s]+1+reserve*q.Burst > q.Burst {
+	held := min(q.Burst, q.held(s))
+	if held < 1+reserve*q.Burst {
 		return false
 	}
+	q.services[s] = held - 1
+	return true
+}
+
+func (q *Quota) held(s toucanservice.Name) float64 {
 	if q.services == nil {
 		q.services = make(map[toucanservice.Name]float64)
 	}
-	q.services[s]++
-	return true
+	held, ok := q.services[s]
+	if !ok {
+		return startShare * q.Burst
+	}
+	return held
 }
