--- a/toucanstair/toucanentry/entry.go
+++ b/toucanstair/toucanentry/entry.go
@@ -115,7 +115,9 @@
 	quota.SetBurst(slackShare * s.Repeats.Slack / float64(fleet.Hosts()))
 	forwarder := &toucanforward.Forwarder{
 		Dialect: e.Dialect, Guide: follower, Roster: roster, Sender: sender, Log: e.Log,
-		Chooser: &toucanroster.Chooser{Zone: s.Zone, Region: s.Region, Places: s.Places},
+		Chooser: &toucanroster.Chooser{Zone: s.Zone, Region: s.Region, Places: s.Places, Connected: func(t *toucanroster.Target) bool {
+			return sender.Connected(t.ID, t.Address)
+		}},
 		Quota:   quota,
 		Share:   fleet.Share,
 		Closing: e.stopping.Load,
--- a/toucanstair/toucanforward/flight.go
+++ b/toucanstair/toucanforward/flight.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"runtime"
 	"time"
 
 	"toucanstair.example/core/toucanservice"
@@ -28,11 +29,7 @@
 	f       *Forwarder
 	route   *toucanrules.Route
 	entry   *entry
-	method  string
-	uri     string
-	host    string
-	header  http.Header
-	body    []byte
+	message *toucansend.Message
 	limit   time.Time
 	plan    toucangather.Plan
 	legs    []leg
@@ -54,8 +51,8 @@
 
 func (f *Forwarder) flight(r *http.Request, route *toucanrules.Route, body []byte, e *entry, limit time.Time) *flight {
 	g := &flight{
-		f: f, route: route, entry: e, method: r.Method, uri: r.RequestURI, host: r.Host,
-		header: f.forwardable(r.Header), body: body, limit: limit,
+		f: f, route: route, entry: e, limit: limit,
+		message: toucansend.NewMessage(e.id, r.Method, r.RequestURI, r.Host, f.forwardable(r.Header), body),
 	}
 	services := route.Shards
 	g.plan = toucangather.Plan{Shards: len(services), Coverage: route.Coverage, Limit: limit}
@@ -96,6 +93,7 @@
 			g.live--
 			g.take(ev, time.Now())
 		case <-timer.C:
+			g.drain()
 			g.tick(time.Now())
 		case <-caller.Done():
 			g.gone = true
@@ -104,6 +102,21 @@
 	}
 }
 
+// drain takes in the responses that are already there, so that a host that is
+// short of processor time sends no second requests for them.
+func (g *flight) drain() {
+	runtime.Gosched()
+	for {
+		select {
+		case ev := <-g.events:
+			g.live--
+			g.take(ev, time.Now())
+		default:
+			return
+		}
+	}
+}
+
 // end lets the remaining exchanges finish for a short time, unless nobody
 // waits for the response.
 func (g *flight) end() {
@@ -148,14 +161,15 @@
 	g.live++
 	g.entry.sends++
 	r := &toucansend.Request{
-		Target: t.ID, Address: t.Address, Method: g.method, URI: g.uri, Host: g.host, Header: g.header,
-		Body: g.body, ID: g.entry.id, Limit: g.f.connections(t), Fresh: !g.route.Idempotent,
+		Target: t.ID, Address: t.Address, Message: g.message, Limit: g.f.connections(t), Fresh: !g.route.Idempotent,
 		Connect: min(connectTime, g.limit.Sub(now)),
 	}
-	go g.exchange(i, t, r, now)
+	g.f.workers.Go(func() { g.exchange(i, t, r, now) })
 }
 
-func (g *flight) exchange(i int, t *toucanroster.Target, r *toucansend.Request, sent time.Time) {
+func (g *flight) exchange(i int, t *toucanroster.Target, r *toucansend.Request, planned time.Time) {
+	sent := time.Now()
+	g.f.lag.observe(sent.Sub(planned))
 	n := t.Load.Begin(sent)
 	res, err := g.f.Sender.Do(g.ctx, r, g.limit.Sub(sent))
 	t.Load.End(n)
--- a/toucanstair/toucanforward/forwarder.go
+++ b/toucanstair/toucanforward/forwarder.go
@@ -22,6 +22,7 @@
 	"toucanstair.example/toucanstair/toucanroster"
 	"toucanstair.example/toucanstair/toucanrules"
 	"toucanstair.example/toucanstair/toucansend"
+	"toucanstair.example/toucanstair/toucanworker"
 )
 
 const (
@@ -64,6 +65,8 @@
 	Closing func() bool
 
 	flights atomic.Int64
+	workers toucanworker.Pool
+	lag     lag
 }
 
 var tooMany = metrics.NewCounter(`toucan_forward_refused_total{reason="host is full"}`)
--- a/toucanstair/toucanforward/leg.go
+++ b/toucanstair/toucanforward/leg.go
@@ -138,13 +138,14 @@
 	if v.Latency > 0 {
 		wait = v.Latency + hedgeSpread*v.Spread
 	}
-	if g.plan.Due.After(now) {
+	if v.Latency == 0 && g.plan.Due.After(now) {
 		need := g.f.need(g.route, append(slices.Clone(l.tried), l.refused...))
 		if other, takes := g.f.Chooser.Choose(g.f.Roster.Listed(l.service), need, now); other != nil {
-			_ = takes
+			wait = min(wait, g.plan.Due.Sub(now)-takes-hedgeSpare)
 		}
 	}
-	return now.Add(max(hedgeLeast, wait))
+	// The lag counts twice: on the way out and on the way back.
+	return now.Add(max(hedgeLeast, wait) + 2*g.f.lag.mean())
 }
 
 // hedge sends a leg that is late to a second target.
--- a/toucanstair/toucanroster/choose.go
+++ b/toucanstair/toucanroster/choose.go
@@ -10,10 +10,14 @@
 )
 
 const (
-	// Latencies that are assumed before a target was observed.
-	guessZone   = 10 * time.Millisecond
-	guessRegion = 14 * time.Millisecond
-	guessFar    = 40 * time.Millisecond
+	// Times to a target and back that are assumed.
+	wayZone   = time.Millisecond
+	wayRegion = 4 * time.Millisecond
+	wayFar    = 26 * time.Millisecond
+	// guessWork is the time of a target that is assumed before it was observed.
+	guessWork = 10 * time.Millisecond
+	// connectWork is the time that a target takes for a new connection.
+	connectWork = 6 * time.Millisecond
 	// failCost is the latency that one sure failure is worth.
 	failCost = 400 * time.Millisecond
 	// coldFactor is how much slower a cold target is assumed to be.
@@ -26,6 +30,9 @@
 	Zone   toucanzone.Name
 	Region toucanrules.Region
 	Places toucanrules.Places
+	// Connected reports whether a target can be sent to without a new
+	// connection; nil means always.
+	Connected func(*Target) bool
 }
 
 // Need says which targets of a service a request may go to.
@@ -79,25 +86,28 @@
 func (c *Chooser) Expect(t *Target, v View, now time.Time) time.Duration {
 	e := v.Latency
 	if e == 0 {
-		e = c.guess(t)
+		e = c.way(t) + guessWork
 		if t.Cold(now) {
 			e *= coldFactor
 		}
 	}
 	// A target whose oldest exchange is late has paused or is lost.
 	e = max(e, v.Oldest)
+	if c.Connected != nil && !c.Connected(t) {
+		e += c.way(t) + connectWork
+	}
 	slots := max(1, t.Slots)
 	queue := max(v.Running, v.Waiting)
 	e += e * time.Duration(queue) / time.Duration(2*slots)
 	return e + time.Duration((v.Failures+v.Refusals/2)*float64(failCost))
 }
 
-func (c *Chooser) guess(t *Target) time.Duration {
+func (c *Chooser) way(t *Target) time.Duration {
 	switch {
 	case t.Zone == c.Zone:
-		return guessZone
+		return wayZone
 	case c.Places[t.Zone] == c.Region:
-		return guessRegion
+		return wayRegion
 	}
-	return guessFar
+	return wayFar
 }
--- a/toucanstair/toucansend/pool.go
+++ b/toucanstair/toucansend/pool.go
@@ -14,8 +14,10 @@
 )
 
 const (
-	// idleMost is how long a connection without a stated limit is kept.
-	idleMost = 8 * time.Second
+	// idleUsual is how long a connection without a stated limit is kept, and
+	// idleMost how long any is.
+	idleUsual = 8 * time.Second
+	idleMost  = 60 * time.Second
 	// idleSpare is how much earlier than the target a connection is closed.
 	idleSpare = 700 * time.Millisecond
 	// freshFor is how long after its last use a connection may carry a request
@@ -45,7 +47,7 @@
 
 // keep reads the idle time of a Keep-Alive header.
 func (c *conn) keep(header string) {
-	c.idle = idleMost
+	c.idle = idleUsual
 	for field := range strings.SplitSeq(header, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
 		if !strings.EqualFold(name, "timeout") {
@@ -165,6 +167,14 @@
 	return newConn(c), 0, nil
 }
 
+// ready reports whether there is an idle connection.
+func (p *pool) ready() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := len(p.idle)
+	return n > 0 && time.Since(p.idle[n-1].used) < p.idle[n-1].idle-idleSpare
+}
+
 func (p *pool) give(c *conn) {
 	c.used = time.Now()
 	p.mu.Lock()
--- a/toucanstair/toucansend/sender.go
+++ b/toucanstair/toucansend/sender.go
@@ -54,12 +54,7 @@
 type Request struct {
 	Target  toucanreplica.ID
 	Address string
-	Method  string
-	URI     string // as the caller wrote it
-	Host    string
-	Header  http.Header // without headers of one connection
-	Body    []byte
-	ID      string
+	Message *Message
 	Limit   int // most connections to the target; 0: no limit
 	// Fresh asks for a connection that was used only a short time ago or is
 	// new, because the request can't be repeated.
@@ -68,6 +63,40 @@
 	Connect time.Duration
 }
 
+// Message is what all targets of one request get alike.
+type Message struct {
+	ID     string
+	Method string
+	Body   []byte
+
+	head []byte
+}
+
+// NewMessage returns the message of a request with its URI as the caller wrote
+// it; header has no headers of one connection.
+func NewMessage(id, method, uri, host string, header http.Header, body []byte) *Message {
+	var b bytes.Buffer
+	b.WriteString(method)
+	b.WriteByte(' ')
+	b.WriteString(uri)
+	b.WriteString(" HTTP/1.1\r\nHost: ")
+	b.WriteString(host)
+	b.WriteString("\r\n")
+	// A buffer takes every write.
+	_ = header.Write(&b)
+	if len(body) > 0 || method != http.MethodGet && method != http.MethodHead {
+		field(&b, "Content-Length", strconv.Itoa(len(body)))
+	}
+	return &Message{ID: id, Method: method, Body: body, head: b.Bytes()}
+}
+
+func field(b *bytes.Buffer, name, value string) {
+	b.WriteString(name)
+	b.WriteString(": ")
+	b.WriteString(value)
+	b.WriteString("\r\n")
+}
+
 // Response is a complete response.
 type Response struct {
 	Status int
@@ -133,20 +162,25 @@
 	return res, nil
 }
 
+// Connected reports whether an idle connection to a target may be used.
+func (s *Sender) Connected(id toucanreplica.ID, address string) bool {
+	return s.pools.of(id, address).ready()
+}
+
 // Retain closes the connections to targets that are not wanted any more.
 func (s *Sender) Retain(wanted func(toucanreplica.ID) bool) { s.pools.retain(wanted) }
 
 func (s *Sender) exchange(c *conn, r *Request, left time.Duration) (*Response, bool, error) {
 	head := s.head(r, left)
 	wrote := make(chan error, 1)
-	if len(r.Body) < apart {
-		if _, err := c.Write(append(head, r.Body...)); err != nil {
+	if len(r.Message.Body) < apart {
+		if _, err := c.Write(append(head, r.Message.Body...)); err != nil {
 			return nil, false, err
 		}
 		wrote <- nil
 	} else {
 		go func() {
-			buffers := net.Buffers{head, r.Body}
+			buffers := net.Buffers{head, r.Message.Body}
 			_, err := buffers.WriteTo(c.Conn)
 			wrote <- err
 		}()
@@ -163,29 +197,14 @@
 	}
 }
 
-// head writes the request line and headers.
+// head returns the request line and headers, with room for a short body.
 func (s *Sender) head(r *Request, left time.Duration) []byte {
+	const own = 128 // bytes for the headers below
 	var b bytes.Buffer
-	b.Grow(512 + len(r.Body))
-	b.WriteString(r.Method)
-	b.WriteByte(' ')
-	b.WriteString(r.URI)
-	b.WriteString(" HTTP/1.1\r\nHost: ")
-	b.WriteString(r.Host)
-	b.WriteString("\r\n")
-	// A buffer takes every write.
-	_ = r.Header.Write(&b)
-	field := func(name, value string) {
-		b.WriteString(name)
-		b.WriteString(": ")
-		b.WriteString(value)
-		b.WriteString("\r\n")
-	}
-	field(s.Dialect.Deadline, strconv.FormatInt(max(1, left.Milliseconds()), 10))
-	field(s.Dialect.Expect, string(r.Target))
-	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
-		field("Content-Length", strconv.Itoa(len(r.Body)))
-	}
+	b.Grow(len(r.Message.head) + own + min(len(r.Message.Body), apart))
+	b.Write(r.Message.head)
+	field(&b, s.Dialect.Deadline, strconv.FormatInt(max(1, left.Milliseconds()), 10))
+	field(&b, s.Dialect.Expect, string(r.Target))
 	b.WriteString("\r\n")
 	return b.Bytes()
 }
@@ -204,7 +223,7 @@
 // read returns the response to r. Responses that carry another id belong to
 // earlier requests and are skipped.
 func (s *Sender) read(c *conn, r *Request) (*Response, bool, error) {
-	like := &http.Request{Method: r.Method}
+	like := &http.Request{Method: r.Message.Method}
 	interim := 0
 	for range maxStray {
 		res, err := http.ReadResponse(c.r, like)
@@ -219,7 +238,7 @@
 		if err != nil {
 			return nil, false, err
 		}
-		if id := res.Header.Get(s.Dialect.Request); id != "" && id != r.ID {
+		if id := res.Header.Get(s.Dialect.Request); id != "" && id != r.Message.ID {
 			stray.Inc()
 			if res.Close {
 				return nil, false, errStray
