--- a/toucanstair/toucanforward/entry.go
+++ b/toucanstair/toucanforward/entry.go
@@ -25,7 +25,7 @@
 }
 
 // maxTrail bounds the notes of one request.
-const maxTrail = 12
+const maxTrail = 24
 
 func (e *entry) note(text string) {
 	if len(e.trail) < maxTrail {
--- a/toucanstair/toucanforward/leg.go
+++ b/toucanstair/toucanforward/leg.go
@@ -148,6 +148,18 @@
 	return now.Add(max(hedgeLeast, wait) + 2*g.f.lag.mean())
 }
 
+// state describes a leg that has no response.
+func (l *leg) state() string {
+	text := string(l.service)
+	if l.lost {
+		text += " (given up)"
+	}
+	for _, id := range l.tried {
+		text += " at " + string(id)
+	}
+	return text
+}
+
 // hedge sends a leg that is late to a second target.
 func (g *flight) hedge(i int, now time.Time) {
 	l := &g.legs[i]
--- a/toucanstair/toucanforward/respond.go
+++ b/toucanstair/toucanforward/respond.go
@@ -113,6 +113,8 @@
 		if res := g.legs[i].res; res != nil && g.legs[i].done {
 			stamps = append(stamps, res.Header.Get(g.f.Dialect.Stamp))
 			top.Add(res.Body)
+		} else {
+			g.entry.note("without " + g.legs[i].state())
 		}
 	}
 	h := w.Header()
