--- a/toucanstair/toucanforward/leg.go
+++ b/toucanstair/toucanforward/leg.go
@@ -32,7 +32,7 @@
 	// refusedPause is the pause before a target that refused is asked again.
 	refusedPause = 12 * time.Millisecond
 	// retryReserve is the part of the tokens that hedges leave to retries.
-	retryReserve = 0.15
+	retryReserve = 0.05
 	// connectionShare is the share of a target's connections that the hosts use
 	// together; the rest is for hosts that start while others still run.
 	connectionShare = 0.9
--- a/toucanstair/toucanquota/quota.go
+++ b/toucanstair/toucanquota/quota.go
@@ -23,7 +23,7 @@
 
 // startShare is the part of a bucket that is full at first, since a host that
 // starts may follow one that has just spent its tokens.
-const startShare = 0.4
+const startShare = 0.75
 
 // SetBurst changes the size of the buckets.
 func (q *Quota) SetBurst(b float64) {
