--- a/toucanstair/toucanentry/entry.go
+++ b/toucanstair/toucanentry/entry.go
@@ -15,15 +15,18 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
+	"google.golang.org/grpc"
 
 	"toucanstair.example/core/toucanhost"
+	"toucanstair.example/core/toucanpb"
 	"toucanstair.example/core/toucantimer"
 	"toucanstair.example/core/toucanzone"
 	"toucanstair.example/toucanstair/toucanfeed"
-	"toucanstair.example/toucanstair/toucanfleet"
 	"toucanstair.example/toucanstair/toucanfollow"
 	"toucanstair.example/toucanstair/toucanforward"
+	"toucanstair.example/toucanstair/toucangateway"
 	"toucanstair.example/toucanstair/toucanmirror"
+	"toucanstair.example/toucanstair/toucanplace"
 	"toucanstair.example/toucanstair/toucanquota"
 	"toucanstair.example/toucanstair/toucanreader"
 	"toucanstair.example/toucanstair/toucanregister"
@@ -67,7 +70,8 @@
 	Hosts   int // hosts that run at the same time, at least
 	Repeats Repeats
 	Within  time.Duration // in which a change of the store must be in effect
-	Feed    string        // "ip:port" for the other hosts; "": none
+	Peers   string        // "ip:port" for the other hosts; "": none
+	Power   int           // processor, in thousandths of a core
 	Check   string        // path of the readiness question
 }
 
@@ -104,33 +108,39 @@
 	defer cancel()
 	roster := &toucanroster.Roster{}
 	sender := &toucansend.Sender{Dialect: e.Dialect}
-	self := toucanreader.Peer{ID: s.Name, Zone: s.Zone, Address: s.Feed}
+	self := toucanreader.Peer{ID: s.Name, Zone: s.Zone, Address: s.Peers, Power: s.Power}
 	mirror := &toucanmirror.Mirror{}
 	follower := &toucanfollow.Follower{
 		Store: e.Store, Decode: e.Decode, Self: self, Within: s.Within, Mirror: mirror, Roster: roster, Log: e.Log,
 		Swept: func() { sender.Retain(roster.Has) },
 	}
-	fleet := &toucanfleet.Fleet{Self: self, Peers: follower.Peers, Least: max(1, s.Hosts)}
+	placer := &toucanplace.Placer{Self: self, Peers: follower.Peers, Least: max(1, s.Hosts)}
 	quota := &toucanquota.Quota{Ratio: ratioShare * s.Repeats.Ratio}
-	quota.SetBurst(slackShare * s.Repeats.Slack / float64(fleet.Hosts()))
+	quota.SetBurst(e.burst(placer))
 	forwarder := &toucanforward.Forwarder{
 		Dialect: e.Dialect, Guide: follower, Roster: roster, Sender: sender, Log: e.Log,
 		Chooser: &toucanroster.Chooser{Zone: s.Zone, Region: s.Region, Places: s.Places, Connected: func(t *toucanroster.Target) bool {
 			return sender.Connected(t.ID, t.Address)
 		}},
 		Quota:   quota,
-		Share:   fleet.Share,
+		Shared:  placer.Part,
+		Single:  placer.Even,
+		Handing: &toucanforward.Handing{Placer: placer, Client: &toucangateway.Client{}},
 		Closing: e.stopping.Load,
 	}
 	ended := []<-chan error{follower.Run(work)}
-	if s.Feed != "" {
-		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.Feed)
+	if s.Peers != "" {
+		end, err := e.servePeers(work, mirror, &toucanforward.Gateway{Forwarder: forwarder, RulesAt: follower.RulesAt})
 		if err != nil {
 			return err
 		}
-		ended = append(ended, (&toucanfeed.Server{Mirror: mirror}).Serve(work, l), (&toucanregister.Register{Store: e.Store, Self: self, Log: e.Log}).Run(work))
+		ended = append(ended, end)
 	}
-	go e.share(work, quota, fleet)
+	registered, leave := context.WithCancel(work)
+	defer leave()
+	ended = append(ended,
+		(&toucanregister.Register{Store: e.Store, Self: self, Log: e.Log}).Run(registered),
+		e.share(work, quota, placer))
 	front := e.server(forwarder)
 	ready := e.server(e.readiness(follower))
 	ends := make(chan error, 3)
@@ -149,6 +159,7 @@
 	if err := e.wait(ctx, signals, ends); err != nil {
 		return err
 	}
+	leave()
 	err := e.stop(ctx, front)
 	cancel()
 	for _, end := range ended {
@@ -159,10 +170,37 @@
 
 // share divides the operators' bound on repeats among the hosts as they come
 // and go.
-func (e *Entry) share(ctx context.Context, q *toucanquota.Quota, f *toucanfleet.Fleet) {
-	for toucantimer.Wait(ctx, shareTime) {
-		q.SetBurst(slackShare * e.Settings.Repeats.Slack / float64(f.Hosts()))
+func (e *Entry) share(ctx context.Context, q *toucanquota.Quota, p *toucanplace.Placer) <-chan error {
+	end := make(chan error, 1)
+	go func() {
+		for toucantimer.Wait(ctx, shareTime) {
+			q.SetBurst(e.burst(p))
+		}
+		end <- nil
+	}()
+	return end
+}
+
+func (e *Entry) burst(p *toucanplace.Placer) float64 {
+	return max(1, slackShare*e.Settings.Repeats.Slack*p.Part())
+}
+
+// servePeers serves the other hosts until ctx ends.
+func (e *Entry) servePeers(ctx context.Context, m *toucanmirror.Mirror, g *toucanforward.Gateway) (<-chan error, error) {
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", e.Settings.Peers)
+	if err != nil {
+		return nil, err
 	}
+	server := grpc.NewServer()
+	toucanpb.RegisterFeedServer(server, &toucanfeed.Server{Mirror: m})
+	toucanpb.RegisterGatewayServer(server, g)
+	end := make(chan error, 1)
+	stop := context.AfterFunc(ctx, server.Stop)
+	go func() {
+		defer stop()
+		end <- server.Serve(l)
+	}()
+	return end, nil
 }
 
 // wait returns nil when a signal asks for a stop, or the failure of a listener.
--- a/toucanstair/toucanfeed/client.go
+++ b/toucanstair/toucanfeed/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"google.golang.org/grpc"
@@ -38,7 +37,7 @@
 	defer cancel()
 	conn, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithContextDialer(dial), grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)))
+		grpc.WithContextDialer(toucansend.Dial), grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)))
 	if err != nil {
 		return err
 	}
@@ -66,7 +65,3 @@
 		take(b, time.Now().Add(-age))
 	}
 }
-
-func dial(ctx context.Context, address string) (net.Conn, error) {
-	return toucansend.Dialer.DialContext(ctx, "tcp", address)
-}
--- a/toucanstair/toucanfeed/server.go
+++ b/toucanstair/toucanfeed/server.go
@@ -2,8 +2,6 @@
 package toucanfeed
 
 import (
-	"context"
-	"net"
 	"time"
 
 	"google.golang.org/grpc"
@@ -15,8 +13,6 @@
 const (
 	// noteTime is the longest time between two messages of a feed.
 	noteTime = 500 * time.Millisecond
-	// maxFollowers bounds the streams of one host.
-	maxFollowers = 256
 	// maxMessage bounds a message, in bytes: a whole copy of the store's keys.
 	maxMessage = 32 << 20
 )
@@ -27,19 +23,6 @@
 	Mirror *toucanmirror.Mirror
 }
 
-// Serve serves on l until ctx ends, and then reports on the channel.
-func (s *Server) Serve(ctx context.Context, l net.Listener) <-chan error {
-	g := grpc.NewServer(grpc.MaxConcurrentStreams(maxFollowers))
-	toucanpb.RegisterFeedServer(g, s)
-	end := make(chan error, 1)
-	stop := context.AfterFunc(ctx, g.Stop)
-	go func() {
-		defer stop()
-		end <- g.Serve(l)
-	}()
-	return end
-}
-
 // Follow sends what changed after the revision that was asked for, and a note
 // of the mirror's age while nothing changes.
 func (s *Server) Follow(r *toucanpb.FollowRequest, stream grpc.ServerStreamingServer[toucanpb.FollowReply]) error {
--- a/toucanstair/toucanfollow/apply.go
+++ b/toucanstair/toucanfollow/apply.go
@@ -10,6 +10,7 @@
 	"toucanstair.example/core/toucanzone"
 	"toucanstair.example/toucanstair/toucanmirror"
 	"toucanstair.example/toucanstair/toucanreader"
+	"toucanstair.example/toucanstair/toucanrules"
 )
 
 // coldRise is the rise of a target's cold time that shows that it turned cold
@@ -103,6 +104,11 @@
 		}
 		c.Rules.Index()
 		f.revision = it.Revision
+		kept := []*toucanrules.Rules{c.Rules}
+		if old := f.recent.Load(); old != nil {
+			kept = append(kept, (*old)[:min(len(*old), keptRules-1)]...)
+		}
+		f.recent.Store(&kept)
 		f.rules.Store(c.Rules)
 		f.Log.Info("rules reloaded", zap.Uint64("version", c.Rules.Version), zap.Uint64("revision", it.Revision), zap.Int("routes", len(c.Rules.Routes)))
 	case c.Target != nil:
--- a/toucanstair/toucanfollow/follower.go
+++ b/toucanstair/toucanfollow/follower.go
@@ -46,6 +46,9 @@
 	retryMost  = 900 * time.Millisecond
 	// unsureFor is how long after a failed call the list counts as uncertain.
 	unsureFor = 5 * time.Second
+	// keptRules is the number of versions of the rules that are kept, for
+	// requests that another host began with an older one.
+	keptRules = 4
 	sweepTime = 250 * time.Millisecond
 	// holdTime is how long a host stays with a source that is not the best
 	// before it tries a better one.
@@ -105,7 +108,8 @@
 
 	mu       sync.Mutex // serializes batches
 	rules    atomic.Pointer[toucanrules.Rules]
-	revision uint64 // of the rules
+	revision uint64                               // of the rules
+	recent   atomic.Pointer[[]*toucanrules.Rules] // newest first
 	out      atomic.Pointer[map[toucanzone.Name]bool]
 	peers    atomic.Pointer[map[toucanhost.ID]toucanreader.Peer]
 	listed   atomic.Bool
@@ -120,6 +124,21 @@
 // Rules returns the newest rules, or nil before there are any.
 func (f *Follower) Rules() *toucanrules.Rules { return f.rules.Load() }
 
+// RulesAt returns the rules of a version that is, or was a short time ago, in
+// effect, or nil.
+func (f *Follower) RulesAt(version uint64) *toucanrules.Rules {
+	kept := f.recent.Load()
+	if kept == nil {
+		return nil
+	}
+	for _, r := range *kept {
+		if r.Version == version {
+			return r
+		}
+	}
+	return nil
+}
+
 // Out returns the zones that get nothing; the map is not changed.
 func (f *Follower) Out() map[toucanzone.Name]bool {
 	if m := f.out.Load(); m != nil {
--- /dev/null
+++ b/toucanstair/toucanforward/bench_test.go
@@ -0,0 +1,99 @@
+package toucanforward
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"toucanstair.example/core/toucanreplica"
+	"toucanstair.example/core/toucanservice"
+	"toucanstair.example/core/toucanzone"
+	"toucanstair.example/toucanstair/toucanquota"
+	"toucanstair.example/toucanstair/toucanroster"
+	"toucanstair.example/toucanstair/toucanrules"
+	"toucanstair.example/toucanstair/toucansend"
+)
+
+type fixedGuide struct{ rules *toucanrules.Rules }
+
+func (g fixedGuide) Rules() *toucanrules.Rules     { return g.rules }
+func (g fixedGuide) Out() map[toucanzone.Name]bool { return nil }
+
+var dialect = toucansend.Dialect{
+	Request: "Request-Id", Deadline: "Deadline", Expect: "Expect-Target", Stamp: "Stamp",
+	NotRun: "Not-Run", Load: "Load", Cold: "Cold", Parts: "Parts", Missing: "Missing",
+}
+
+// rawTarget answers each request on a connection with the same bytes, at
+// little cost of its own.
+func rawTarget(tb testing.TB) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	tb.Cleanup(func() { l.Close() })
+	body := make([]byte, 320)
+	answer := []byte(fmt.Sprintf("HTTP/1.1 200 OK\r\nStamp: 3e1b.07.5a2.600.0.c9f2a4d1\r\nLoad: 1,0,2\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				b := make([]byte, 4096)
+				for {
+					if _, err := c.Read(b); err != nil {
+						return
+					}
+					if _, err := c.Write(answer); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// Measures the processor time of one gathered request over many shards.
+func BenchmarkGather(b *testing.B) {
+	const shards = 90
+	rules := &toucanrules.Rules{Version: 1, Services: map[toucanservice.Name]toucanrules.Service{}}
+	route := &toucanrules.Route{
+		Name: "r", Host: "a.example", Prefix: "/p/", Idempotent: true, Timeout: time.Second,
+		Target: time.Second, Attempts: 2, Top: 20, Coverage: 0.9,
+	}
+	roster := &toucanroster.Roster{}
+	address := rawTarget(b)
+	for i := range shards {
+		s := toucanservice.Name(fmt.Sprint("s", i))
+		route.Shards = append(route.Shards, s)
+		rules.Services[s] = toucanrules.Service{Connections: 50}
+		roster.Put(toucanroster.Entry{ID: toucanreplica.ID(s), Service: s, Address: address, Zone: "z", Slots: 2}, time.Now())
+	}
+	rules.Routes = []*toucanrules.Route{route}
+	rules.Index()
+	f := &Forwarder{
+		Dialect: dialect, Guide: fixedGuide{rules}, Roster: roster, Chooser: &toucanroster.Chooser{Zone: "z"},
+		Quota: &toucanquota.Quota{}, Sender: &toucansend.Sender{Dialect: dialect},
+		Shared: func() float64 { return 1 }, Single: func() float64 { return 1 }, Log: zap.NewNop(),
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		r := httptest.NewRequestWithContext(context.Background(), http.MethodGet, "http://a.example/p/x", nil)
+		r.RequestURI = "/p/x"
+		r.Header.Set("Request-Id", "9c41d07be2a35f68")
+		w := httptest.NewRecorder()
+		f.ServeHTTP(w, r)
+		if w.Code != http.StatusOK {
+			b.Fatal(w.Code, w.Body.String())
+		}
+	}
+}
--- a/toucanstair/toucanforward/entry.go
+++ b/toucanstair/toucanforward/entry.go
@@ -21,9 +21,12 @@
 	repeats int
 	asked   int
 	missing int
+	handed  bool     // by another host, which answers the caller
 	trail   []string // what happened at targets, other than plain success
 }
 
+var handed = metrics.NewCounter("toucan_forward_gathered_for_others_total")
+
 // maxTrail bounds the notes of one request.
 const maxTrail = 24
 
@@ -36,9 +39,16 @@
 func (f *Forwarder) report(e *entry) {
 	took := time.Since(e.began)
 	status := strconv.Itoa(e.status)
+	if e.handed {
+		handed.Inc()
+	}
 	metrics.GetOrCreateCounter(`toucan_forward_responses_total{status="` + status + `"}`).Inc()
 	metrics.GetOrCreateHistogram(`toucan_forward_seconds{status="` + status + `"}`).Update(took.Seconds())
-	f.Log.Info("request",
+	message := "request"
+	if e.handed {
+		message = "request of another host"
+	}
+	f.Log.Info(message,
 		zap.String("request", e.id), zap.String("route", e.route), zap.Uint64("version", e.version),
 		zap.Int("status", e.status), zap.String("why", e.why), zap.Duration("took", took),
 		zap.Int("asked", e.asked), zap.Int("missing", e.missing),
--- a/toucanstair/toucanforward/flight.go
+++ b/toucanstair/toucanforward/flight.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"net/http"
 	"runtime"
 	"time"
 
@@ -49,11 +48,8 @@
 	err    *toucansend.Error
 }
 
-func (f *Forwarder) flight(r *http.Request, route *toucanrules.Route, body []byte, e *entry, limit time.Time) *flight {
-	g := &flight{
-		f: f, route: route, entry: e, limit: limit,
-		message: toucansend.NewMessage(e.id, r.Method, r.RequestURI, r.Host, f.forwardable(r.Header), body),
-	}
+func (f *Forwarder) flight(m *toucansend.Message, route *toucanrules.Route, e *entry, limit time.Time) *flight {
+	g := &flight{f: f, route: route, entry: e, limit: limit, message: m}
 	services := route.Shards
 	g.plan = toucangather.Plan{Shards: len(services), Coverage: route.Coverage, Limit: limit}
 	if route.Fans() {
@@ -161,7 +157,7 @@
 	g.live++
 	g.entry.sends++
 	r := &toucansend.Request{
-		Target: t.ID, Address: t.Address, Message: g.message, Limit: g.f.connections(t), Fresh: !g.route.Idempotent,
+		Target: t.ID, Address: t.Address, Message: g.message, Limit: g.f.connections(t, g.route.Fans()), Fresh: !g.route.Idempotent,
 		Connect: min(connectTime, g.limit.Sub(now)),
 	}
 	g.f.workers.Go(func() { g.exchange(i, t, r, now) })
--- a/toucanstair/toucanforward/forwarder.go
+++ b/toucanstair/toucanforward/forwarder.go
@@ -59,8 +59,11 @@
 	Chooser *toucanroster.Chooser
 	Quota   *toucanquota.Quota
 	Sender  sender
-	Share   func() float64 // part of the connections of a target that are this host's
-	Log     *zap.Logger
+	// Shared and Single return the part of the connections of a target that are
+	// this host's, of a sharded service and of others.
+	Shared, Single func() float64
+	Handing        *Handing // nil: this host gathers all its requests itself
+	Log            *zap.Logger
 	// Closing reports whether connections are closed after their response.
 	Closing func() bool
 
@@ -113,7 +116,11 @@
 		f.fail(w, e, status, err.Error())
 		return
 	}
-	g := f.flight(r, route, body, e, limit)
+	m := toucansend.NewMessage(e.id, r.Method, r.RequestURI, r.Host, f.forwardable(r.Header), body)
+	g := f.flight(m, route, e, limit)
+	if f.hand(r.Context(), w, g, body, r) {
+		return
+	}
 	g.run(r.Context())
 	g.respond(w)
 }
--- a/toucanstair/toucanforward/leg.go
+++ b/toucanstair/toucanforward/leg.go
@@ -34,8 +34,10 @@
 	// retryReserve is the part of the tokens that hedges leave to retries.
 	retryReserve = 0.05
 	// connectionShare is the share of a target's connections that the hosts use
-	// together; the rest is for hosts that start while others still run.
-	connectionShare = 0.9
+	// together. The rest is for hosts that start again while a target still keeps
+	// the connections of their former life, and for targets that accept fewer
+	// while their queue is long.
+	connectionShare = 0.5
 	// leastConnections lets a second request pass one that a target holds up.
 	leastConnections = 2
 )
@@ -306,7 +308,7 @@
 }
 
 // connections returns how many connections this host may have to a target.
-func (f *Forwarder) connections(t *toucanroster.Target) int {
+func (f *Forwarder) connections(t *toucanroster.Target, fans bool) int {
 	rules := f.Guide.Rules()
 	if rules == nil {
 		return 1
@@ -315,5 +317,9 @@
 	if all <= 0 {
 		return 0
 	}
-	return max(leastConnections, int(math.Ceil(connectionShare*float64(all)*f.Share())))
+	part := f.Single()
+	if fans {
+		part = f.Shared()
+	}
+	return max(leastConnections, int(math.Ceil(connectionShare*float64(all)*part)))
 }
--- /dev/null
+++ b/toucanstair/toucangateway/client.go
@@ -0,0 +1,104 @@
+// Package toucangateway hands requests over many shards to a stronger host.
+package toucangateway
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/connectivity"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"toucanstair.example/core/toucanpb"
+	"toucanstair.example/toucanstair/toucansend"
+)
+
+// takeTime is how long a host may take to say that it gathers a request; the
+// way there and back takes about a millisecond.
+const takeTime = 40 * time.Millisecond
+
+// maxMessage bounds a message, in bytes.
+const maxMessage = 8 << 20
+
+// ErrNotTaken means that the host does not gather the request, and sent
+// nothing for it. ErrConnecting means the same, for want of a connection.
+var (
+	ErrNotTaken   error = fault("the host did not take the request")
+	ErrConnecting error = fault("there is no connection to the host yet")
+)
+
+type fault string
+
+func (f fault) Error() string { return string(f) }
+
+// Client hands requests to hosts. The zero value works.
+type Client struct {
+	mu    sync.Mutex
+	conns map[string]*grpc.ClientConn
+}
+
+// Gather returns the response that the host at an address gathers.
+// ErrNotTaken and ErrConnecting mean that it sent nothing; with any other
+// failure it may have.
+func (c *Client) Gather(ctx context.Context, address string, r *toucanpb.GatherRequest) (*toucanpb.GatherReply, error) {
+	conn, err := c.conn(address)
+	if err != nil {
+		return nil, errors.Join(ErrNotTaken, err)
+	}
+	if conn.GetState() != connectivity.Ready {
+		conn.Connect()
+		return nil, ErrConnecting
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	late := time.AfterFunc(takeTime, cancel)
+	stream, err := toucanpb.NewGatewayClient(conn).Gather(ctx, r)
+	if err != nil {
+		return nil, errors.Join(ErrNotTaken, err)
+	}
+	first, err := stream.Recv()
+	switch {
+	case err != nil:
+		return nil, errors.Join(ErrNotTaken, err)
+	case !first.GetTaken():
+		return nil, ErrNotTaken
+	case !late.Stop():
+		// The request is cancelled already.
+		return nil, ErrNotTaken
+	}
+	return stream.Recv()
+}
+
+// Retain closes the connections to addresses that are not wanted any more.
+func (c *Client) Retain(wanted map[string]bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, conn := range c.conns {
+		if !wanted[address] {
+			conn.Close()
+			delete(c.conns, address)
+		}
+	}
+}
+
+func (c *Client) conn(address string) (*grpc.ClientConn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if conn := c.conns[address]; conn != nil {
+		return conn, nil
+	}
+	conn, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(toucansend.Dial),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)))
+	if err != nil {
+		return nil, err
+	}
+	if c.conns == nil {
+		c.conns = make(map[string]*grpc.ClientConn)
+	}
+	c.conns[address] = conn
+	return conn, nil
+}
--- a/toucanstair/toucanreader/order.go
+++ b/toucanstair/toucanreader/order.go
@@ -4,6 +4,8 @@
 package toucanreader
 
 import (
+	"slices"
+
 	"toucanstair.example/core/toucanhost"
 	"toucanstair.example/core/toucanrank"
 	"toucanstair.example/core/toucanzone"
@@ -13,7 +15,8 @@
 type Peer struct {
 	ID      toucanhost.ID
 	Zone    toucanzone.Name
-	Address string // "ip:port" of its feed
+	Address string // "ip:port" for other hosts
+	Power   int    // processor, in thousandths of a core
 }
 
 // Source is a place to learn from; the zero value is the store.
@@ -29,7 +32,7 @@
 const fallbacks = 2
 
 // Order returns the sources of a host, best first. The first host of each
-// zone by rank reads the store; the others follow it, and read the store
+// zone by power and rank reads the store; the others follow it, and read the store
 // themselves when it can't be followed. When the store can't be read either, hosts of
 // other zones that may still reach it are followed.
 func Order(self Peer, peers []Peer) []Source {
@@ -48,7 +51,10 @@
 	}
 	var out []Source
 	var ranker toucanrank.Ranker
-	if first := ranker.Rank(string(self.Zone), near)[0]; first != string(self.ID) {
+	byID[string(self.ID)] = self
+	ranked := ranker.Rank(string(self.Zone), near)
+	slices.SortStableFunc(ranked, func(a, b string) int { return byID[b].Power - byID[a].Power })
+	if first := ranked[0]; first != string(self.ID) {
 		out = append(out, Source{byID[first]})
 	}
 	out = append(out, Source{})
--- a/toucanstair/toucanregister/register.go
+++ b/toucanstair/toucanregister/register.go
@@ -52,6 +52,7 @@
 type entry struct {
 	Zone    toucanzone.Name `json:"zone"`
 	Address string          `json:"address"`
+	Power   int             `json:"power"` // thousandths of a core
 }
 
 // Decode returns the host that an entry names, or nil for one that can't be
@@ -61,7 +62,7 @@
 	if len(key) <= len(Prefix) || json.Unmarshal(value, &e) != nil {
 		return nil
 	}
-	return &toucanreader.Peer{ID: toucanhost.ID(key[len(Prefix):]), Zone: e.Zone, Address: e.Address}
+	return &toucanreader.Peer{ID: toucanhost.ID(key[len(Prefix):]), Zone: e.Zone, Address: e.Address, Power: e.Power}
 }
 
 // Run keeps the entry until ctx ends, removes it and reports on the channel.
@@ -99,7 +100,7 @@
 		}
 		r.Log.Info("lease has ended, registering again", zap.String("lease", string(l)))
 	}
-	value, err := json.Marshal(entry{r.Self.Zone, r.Self.Address})
+	value, err := json.Marshal(entry{r.Self.Zone, r.Self.Address, r.Self.Power})
 	if err != nil {
 		r.Log.Error("encoding the host's entry", zap.Error(err))
 		return ""
--- a/toucanstair/toucanrules/rules.go
+++ b/toucanstair/toucanrules/rules.go
@@ -120,5 +120,15 @@
 	return nil
 }
 
+// Named returns the route with a name, or nil.
+func (r *Rules) Named(name string) *Route {
+	for _, t := range r.Routes {
+		if t.Name == name {
+			return t
+		}
+	}
+	return nil
+}
+
 // Places tells the region of each availability zone.
 type Places map[toucanzone.Name]Region
--- a/toucanstair/toucansend/pool.go
+++ b/toucanstair/toucansend/pool.go
@@ -38,6 +38,11 @@
 	Enable: true, Idle: probeIdle, Interval: probeEvery, Count: probeCount,
 }}
 
+// Dial connects to an address over TCP with these probes.
+func Dial(ctx context.Context, address string) (net.Conn, error) {
+	return Dialer.DialContext(ctx, "tcp", address)
+}
+
 type conn struct {
 	net.Conn
 	r    *bufio.Reader
@@ -154,7 +159,7 @@
 	dials.Inc()
 	dial, cancel := context.WithTimeout(ctx, r.Connect)
 	defer cancel()
-	c, err := Dialer.DialContext(dial, "tcp", r.Address)
+	c, err := Dial(dial, r.Address)
 	if err != nil {
 		p.mu.Lock()
 		p.open--
