--- a/toucanstair/toucanentry/entry.go
+++ b/toucanstair/toucanentry/entry.go
@@ -114,7 +114,8 @@
 		Store: e.Store, Decode: e.Decode, Self: self, Within: s.Within, Mirror: mirror, Roster: roster, Log: e.Log,
 		Swept: func() { sender.Retain(roster.Has) },
 	}
-	placer := &toucanplace.Placer{Self: self, Peers: follower.Peers, Least: max(1, s.Hosts)}
+	placer := &toucanplace.Placer{Self: self, Least: max(1, s.Hosts)}
+	placer.Update(nil)
 	quota := &toucanquota.Quota{Ratio: ratioShare * s.Repeats.Ratio}
 	quota.SetBurst(e.burst(placer))
 	forwarder := &toucanforward.Forwarder{
@@ -140,7 +141,7 @@
 	defer leave()
 	ended = append(ended,
 		(&toucanregister.Register{Store: e.Store, Self: self, Log: e.Log}).Run(registered),
-		e.share(work, quota, placer))
+		e.share(work, follower, quota, placer))
 	front := e.server(forwarder)
 	ready := e.server(e.readiness(follower))
 	ends := make(chan error, 3)
@@ -170,10 +171,11 @@
 
 // share divides the operators' bound on repeats among the hosts as they come
 // and go.
-func (e *Entry) share(ctx context.Context, q *toucanquota.Quota, p *toucanplace.Placer) <-chan error {
+func (e *Entry) share(ctx context.Context, f *toucanfollow.Follower, q *toucanquota.Quota, p *toucanplace.Placer) <-chan error {
 	end := make(chan error, 1)
 	go func() {
 		for toucantimer.Wait(ctx, shareTime) {
+			p.Update(f.Peers())
 			q.SetBurst(e.burst(p))
 		}
 		end <- nil
--- a/toucanstair/toucanplace/placer.go
+++ b/toucanstair/toucanplace/placer.go
@@ -26,26 +26,64 @@
 	gatherShare = 0.65
 )
 
-// Placer knows the hosts. Its fields are set before use.
+// Placer knows the hosts. Self and Least are set before use.
 type Placer struct {
 	Self  toucanreader.Peer
-	Peers func() []toucanreader.Peer
 	Least int // hosts that are assumed while fewer are listed
 
 	mu       sync.Mutex
+	gather   []toucanreader.Peer // stronger hosts of the zone
+	part     float64
+	even     float64
 	running  map[toucanhost.ID]int
 	suspects map[toucanhost.ID]time.Time
 }
 
+// Update takes in the hosts that are listed.
+func (p *Placer) Update(peers []toucanreader.Peer) {
+	near, zones, listed := []toucanreader.Peer{p.Self}, map[toucanzone.Name]bool{p.Self.Zone: true}, 1
+	most := p.Self.Power
+	for _, h := range peers {
+		if h.ID == p.Self.ID {
+			continue
+		}
+		listed++
+		zones[h.Zone] = true
+		if h.Zone == p.Self.Zone {
+			near = append(near, h)
+			most = max(most, h.Power)
+		}
+	}
+	// A host is weak if another one of its zone is much stronger.
+	weak := func(h toucanreader.Peer) bool { return h.Power < most && stronger*h.Power <= most }
+	strong := slices.DeleteFunc(slices.Clone(near), weak)
+	one := 1 / float64(len(zones))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.gather = nil
+	p.even = 1 / float64(max(p.Least, listed))
+	switch {
+	case weak(p.Self):
+		p.gather = strong
+		p.part = (1 - gatherShare) * one / float64(len(near)-len(strong))
+	case listed == 1:
+		p.part = p.even
+	case len(strong) == len(near):
+		p.part = one / float64(len(near))
+	default:
+		p.part = gatherShare * one / float64(len(strong))
+	}
+}
+
 // Begin returns the host that is to gather a request, and counts it as
 // running there until End. It reports false when this host does so itself.
 func (p *Placer) Begin(now time.Time) (toucanreader.Peer, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var best toucanreader.Peer
-	for _, h := range p.strong(p.Self.Zone) {
+	for _, h := range p.gather {
 		switch {
-		case h.Power < stronger*p.Self.Power || now.Before(p.suspects[h.ID]):
+		case now.Before(p.suspects[h.ID]):
 		case best.ID == "" || cmp.Or(cmp.Compare(p.running[h.ID], p.running[best.ID]), cmp.Compare(h.ID, best.ID)) < 0:
 			best = h
 		}
@@ -77,52 +115,18 @@
 	p.suspects[id] = now.Add(suspectTime)
 }
 
-// strong returns the strongest hosts of a zone, which gather for the others.
-func (p *Placer) strong(z toucanzone.Name) []toucanreader.Peer {
-	hosts := p.hosts(z)
-	most := 0
-	for _, h := range hosts {
-		most = max(most, h.Power)
-	}
-	return slices.DeleteFunc(hosts, func(h toucanreader.Peer) bool { return stronger*h.Power <= most && h.Power < most })
-}
-
-// hosts returns the listed hosts of a zone with this one.
-func (p *Placer) hosts(z toucanzone.Name) []toucanreader.Peer {
-	var out []toucanreader.Peer
-	for _, h := range p.Peers() {
-		if h.Zone == z && h.ID != p.Self.ID {
-			out = append(out, h)
-		}
-	}
-	if z == p.Self.Zone {
-		out = append(out, p.Self)
-	}
-	return out
-}
-
 // Part returns the part of what a target of a sharded service bears, from all
 // hosts together, that is this host's. Callers are divided among the zones, so a
 // host that is alone in its zone needs more than one of many.
 func (p *Placer) Part() float64 {
-	zones := map[toucanzone.Name]bool{p.Self.Zone: true}
-	peers := p.Peers()
-	if len(peers) < 2 {
-		return 1 / float64(max(1, p.Least))
-	}
-	for _, h := range peers {
-		zones[h.Zone] = true
-	}
-	hosts, strong := p.hosts(p.Self.Zone), p.strong(p.Self.Zone)
-	one := 1 / float64(len(zones))
-	switch {
-	case len(strong) == len(hosts):
-		return one / float64(len(hosts))
-	case slices.ContainsFunc(strong, func(h toucanreader.Peer) bool { return h.ID == p.Self.ID }):
-		return gatherShare * one / float64(len(strong))
-	}
-	return (1 - gatherShare) * one / float64(len(hosts)-len(strong))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.part
 }
 
 // Even returns the part of this host where every host sends for itself.
-func (p *Placer) Even() float64 { return 1 / float64(max(1, p.Least, len(p.Peers()))) }
+func (p *Placer) Even() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.even
+}
