--- a/toucanstair/toucanentry/entry.go
+++ b/toucanstair/toucanentry/entry.go
@@ -33,6 +33,7 @@
 	"toucanstair.example/toucanstair/toucanroster"
 	"toucanstair.example/toucanstair/toucanrules"
 	"toucanstair.example/toucanstair/toucansend"
+	"toucanstair.example/toucanstair/toucanway"
 )
 
 const (
@@ -245,6 +246,7 @@
 	return &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeader,
 		ErrorLog: zap.NewStdLog(e.Log),
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { e.Log.Info("way", zap.Duration("way", toucanway.Measure(c))); return ctx },
 	}
 }
 
