--- a/toucanstair/toucanentry/entry.go
+++ b/toucanstair/toucanentry/entry.go
@@ -245,8 +245,7 @@
 func (e *Entry) server(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeader,
-		ErrorLog: zap.NewStdLog(e.Log),
-		ConnContext: func(ctx context.Context, c net.Conn) context.Context { e.Log.Info("way", zap.Duration("way", toucanway.Measure(c))); return ctx },
+		ErrorLog: zap.NewStdLog(e.Log), ConnContext: toucanway.With,
 	}
 }
 
--- a/toucanstair/toucanforward/entry.go
+++ b/toucanstair/toucanforward/entry.go
@@ -12,7 +12,8 @@
 type entry struct {
 	id      string
 	began   time.Time
-	version uint64 // of the rules
+	way     time.Duration // that the request spends between caller and host
+	version uint64        // of the rules
 	route   string
 	status  int
 	why     string
@@ -49,7 +50,7 @@
 		message = "request of another host"
 	}
 	f.Log.Info(message,
-		zap.String("request", e.id), zap.String("route", e.route), zap.Uint64("version", e.version),
+		zap.String("request", e.id), zap.String("route", e.route), zap.Uint64("version", e.version), zap.Duration("way", e.way),
 		zap.Int("status", e.status), zap.String("why", e.why), zap.Duration("took", took),
 		zap.Int("asked", e.asked), zap.Int("missing", e.missing),
 		zap.Int("sends", e.sends), zap.Int("hedges", e.hedges), zap.Int("repeats", e.repeats),
--- a/toucanstair/toucanforward/flight.go
+++ b/toucanstair/toucanforward/flight.go
@@ -15,9 +15,9 @@
 )
 
 const (
-	// dueSpare is how long before the objective a response with missing shards
-	// leaves, so that it arrives within it.
-	dueSpare = 10 * time.Millisecond
+	// dueSpare is how long before the objective, besides the time on the way, a
+	// response with missing shards leaves, so that it arrives within it.
+	dueSpare = 6 * time.Millisecond
 	// lingerTime is how long targets may still finish after the response was
 	// given; it saves the connection, and the latency is learnt from.
 	lingerTime = 250 * time.Millisecond
@@ -53,7 +53,7 @@
 	services := route.Shards
 	g.plan = toucangather.Plan{Shards: len(services), Coverage: route.Coverage, Limit: limit}
 	if route.Fans() {
-		g.plan.Due = e.began.Add(route.Target - dueSpare)
+		g.plan.Due = e.began.Add(route.Target - dueSpare - e.way)
 	} else {
 		services = []toucanservice.Name{route.Pick(rand.Float64())}
 		g.plan.Shards, g.plan.Coverage = 1, 1
--- a/toucanstair/toucanforward/forwarder.go
+++ b/toucanstair/toucanforward/forwarder.go
@@ -22,6 +22,7 @@
 	"toucanstair.example/toucanstair/toucanroster"
 	"toucanstair.example/toucanstair/toucanrules"
 	"toucanstair.example/toucanstair/toucansend"
+	"toucanstair.example/toucanstair/toucanway"
 	"toucanstair.example/toucanstair/toucanworker"
 )
 
@@ -82,7 +83,7 @@
 	}
 	defer f.flights.Add(-1)
 	running := f.flights.Add(1)
-	e := &entry{id: r.Header.Get(f.Dialect.Request), began: began}
+	e := &entry{id: r.Header.Get(f.Dialect.Request), began: began, way: toucanway.From(r.Context()).Begin()}
 	defer f.report(e)
 	rules := f.Guide.Rules()
 	if rules == nil {
--- a/toucanstair/toucanforward/gateway.go
+++ b/toucanstair/toucanforward/gateway.go
@@ -16,6 +16,9 @@
 	"toucanstair.example/toucanstair/toucansend"
 )
 
+// handTime is the time on the way to another host of the zone and back.
+const handTime = 2 * time.Millisecond
+
 // gatherer hands a request to the host at an address.
 type gatherer interface {
 	Gather(ctx context.Context, address string, r *toucanpb.GatherRequest) (*toucanpb.GatherReply, error)
@@ -43,7 +46,7 @@
 	reply, err := f.Handing.Client.Gather(ctx, peer.Address, &toucanpb.GatherRequest{
 		Id: g.entry.id, Method: r.Method, Uri: r.RequestURI, Host: r.Host, Fields: fields(f.forwardable(r.Header)),
 		Body: body, Rules: g.entry.version, Route: g.route.Name,
-		Due: int64(g.plan.Due.Sub(now)), Limit: int64(g.limit.Sub(now)),
+		Due: int64(g.plan.Due.Sub(now) - handTime), Limit: int64(g.limit.Sub(now)),
 	})
 	left := r.Context().Err() != nil
 	connecting := errors.Is(err, toucangateway.ErrConnecting)
--- a/toucanstair/toucanway/way.go
+++ b/toucanstair/toucanway/way.go
@@ -1,16 +1,55 @@
-// Package toucanway measures how long the way to a caller and back takes.
+// Package toucanway knows how long the way to a caller and back takes.
 package toucanway
 
 import (
+	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
 )
 
-// Measure returns the smoothed time to the other side of a TCP connection and
-// back, as the system knows it; 0 means that it does not.
-func Measure(c net.Conn) time.Duration {
+// Way is the way to the caller of one connection. The zero value is that of
+// an unknown caller.
+type Way struct {
+	there atomic.Int64 // nanoseconds there and back
+	used  atomic.Bool
+}
+
+type key struct{}
+
+// With returns a context with the way to the other side of a connection. It is
+// meant for http.Server.ConnContext.
+func With(ctx context.Context, c net.Conn) context.Context {
+	w := &Way{}
+	w.there.Store(int64(measure(c)))
+	return context.WithValue(ctx, key{}, w)
+}
+
+// From returns the way in a context, or nil.
+func From(ctx context.Context) *Way {
+	w, _ := ctx.Value(key{}).(*Way)
+	return w
+}
+
+// Begin returns the time that a request spends on the way: there and back,
+// and once more for the first request, since the caller's time began when it
+// opened the connection.
+func (w *Way) Begin() time.Duration {
+	if w == nil {
+		return 0
+	}
+	there := time.Duration(w.there.Load())
+	if w.used.Swap(true) {
+		return there
+	}
+	return 2 * there
+}
+
+// measure returns the time to the other side of a TCP connection and back, as
+// the system knows it; 0 means that it does not.
+func measure(c net.Conn) time.Duration {
 	t, ok := c.(*net.TCPConn)
 	if !ok {
 		return 0
