--- a/toucanstair/toucanforward/flight.go
+++ b/toucanstair/toucanforward/flight.go
@@ -18,6 +18,11 @@
 	// dueSpare is how long before the objective, besides the time on the way, a
 	// response with missing shards leaves, so that it arrives within it.
 	dueSpare = 6 * time.Millisecond
+	// Hedging waits when more than crowdLeast legs and more than one in crowdPart
+	// are late at once, at most crowdHolds times in a request.
+	crowdLeast = 3
+	crowdPart  = 10
+	crowdHolds = 2
 	// lingerTime is how long targets may still finish after the response was
 	// given; it saves the connection, and the latency is learnt from.
 	lingerTime = 250 * time.Millisecond
@@ -37,6 +42,7 @@
 	ctx     context.Context // of the exchanges with targets
 	cancel  context.CancelFunc
 	verdict toucangather.Verdict
+	held    int  // times that hedging has waited because many legs were late
 	gone    bool // the caller has left
 }
 
@@ -134,21 +140,40 @@
 	return at
 }
 
+// tick starts or hedges the legs whose time has come. Where many are late at
+// once, this host is the likely cause, and hedging waits a little.
 func (g *flight) tick(now time.Time) {
+	crowd := g.late(now) > max(crowdLeast, len(g.legs)/crowdPart) && g.held < crowdHolds
+	if crowd {
+		g.held++
+	}
 	for i := range g.legs {
 		l := &g.legs[i]
-		if l.wake.IsZero() || now.Before(l.wake) {
-			continue
-		}
-		l.wake = time.Time{}
-		if l.live == 0 {
+		switch {
+		case l.wake.IsZero() || now.Before(l.wake):
+		case l.live == 0:
+			l.wake = time.Time{}
 			g.start(i, now)
-		} else {
+		case crowd:
+			l.wake = now.Add(hedgeLeast)
+		default:
+			l.wake = time.Time{}
 			g.hedge(i, now)
 		}
 	}
 }
 
+// late returns the number of legs that are to be hedged now.
+func (g *flight) late(now time.Time) int {
+	n := 0
+	for i := range g.legs {
+		if l := &g.legs[i]; l.live > 0 && !l.wake.IsZero() && !now.Before(l.wake) {
+			n++
+		}
+	}
+	return n
+}
+
 // send starts one exchange with a target.
 func (g *flight) send(i int, t *toucanroster.Target, now time.Time) {
 	l := &g.legs[i]
--- a/toucanstair/toucanforward/leg.go
+++ b/toucanstair/toucanforward/leg.go
@@ -171,7 +171,11 @@
 	ts := g.f.Roster.Listed(l.service)
 	need := g.f.need(g.route, append(slices.Clone(l.tried), l.refused...))
 	t, expect := g.f.Chooser.Choose(ts, need, now)
-	if t == nil || now.Add(expect).After(g.limit) {
+	if now.Add(expect).After(g.limit) {
+		return
+	}
+	if t == nil {
+		l.wake = now.Add(hedgeAgain)
 		return
 	}
 	if !g.repeat(l, retryReserve) {
@@ -230,8 +234,11 @@
 			return
 		}
 	}
-	if l.live == 0 {
+	switch {
+	case l.live == 0:
 		g.start(ev.leg, now)
+	case l.wake.IsZero():
+		l.wake = now.Add(hedgeAgain)
 	}
 }
 
--- /dev/null
+++ b/toucanstair/toucanreader/order_test.go
@@ -0,0 +1,67 @@
+package toucanreader_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"toucanstair.example/core/toucanhost"
+	"toucanstair.example/core/toucanzone"
+	"toucanstair.example/toucanstair/toucanreader"
+)
+
+func fleet(zones, hosts int) []toucanreader.Peer {
+	var out []toucanreader.Peer
+	for z := range zones {
+		for h := range hosts {
+			out = append(out, toucanreader.Peer{
+				ID: toucanhost.ID(fmt.Sprintf("z%d/h%d", z, h)), Zone: toucanzone.Name(fmt.Sprint("z", z)),
+				Address: fmt.Sprintf("10.0.%d.%d:7300", z, h), Power: 192,
+			})
+		}
+	}
+	return out
+}
+
+// Guards against a store that is read by more hosts as the fleet grows: one
+// host of each zone reads it, and all others follow that one.
+func TestOneHostOfEachZoneReadsTheStore(t *testing.T) {
+	peers := fleet(6, 50)
+	peers[7].Power = 800
+	readers := map[toucanzone.Name]toucanhost.ID{}
+	for _, self := range peers {
+		if toucanreader.Order(self, peers)[0].Store() {
+			require.Empty(t, readers[self.Zone], "two readers in zone %s", self.Zone)
+			readers[self.Zone] = self.ID
+		}
+	}
+	require.Len(t, readers, 6)
+	require.Equal(t, peers[7].ID, readers["z0"], "the strongest host reads")
+	for _, self := range peers {
+		if first := toucanreader.Order(self, peers)[0]; !first.Store() {
+			require.Equal(t, readers[self.Zone], first.Peer.ID)
+		}
+	}
+}
+
+// Guards against a host without another source when its first one fails.
+func TestEachHostHasTheStoreAndOtherZonesToFallBackOn(t *testing.T) {
+	peers := fleet(3, 4)
+	for _, self := range peers {
+		stores, far := 0, 0
+		for _, s := range toucanreader.Order(self, peers) {
+			switch {
+			case s.Store():
+				stores++
+			case s.Peer.Zone != self.Zone:
+				far++
+			}
+		}
+		require.Equal(t, 1, stores)
+		require.Equal(t, 2, far)
+	}
+	alone := toucanreader.Order(peers[0], nil)
+	require.Len(t, alone, 1)
+	require.True(t, alone[0].Store())
+}
--- /dev/null
+++ b/toucanstair/toucansend/sender_test.go
@@ -0,0 +1,226 @@
+package toucansend_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"toucanstair.example/toucanstair/toucansend"
+)
+
+// target answers the nth request on its connections with what script writes;
+// an empty string closes the connection.
+type target struct {
+	address string
+	conns   atomic.Int32
+	heads   chan string
+}
+
+func listen(t *testing.T, script func(nth int, id string) string) *target {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	tg := &target{address: l.Addr().String(), heads: make(chan string, 100)}
+	var nth atomic.Int32
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			tg.conns.Add(1)
+			go func() {
+				defer c.Close()
+				r := bufio.NewReader(c)
+				for {
+					q, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					tg.heads <- q.RequestURI + " " + q.Header.Get("Deadline") + " " + q.Header.Get("Expect-Target")
+					text := script(int(nth.Add(1)), q.Header.Get("Request-Id"))
+					if text == "" {
+						return
+					}
+					if _, err := c.Write([]byte(text)); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return tg
+}
+
+func response(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nKeep-Alive: timeout=10\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func sender() *toucansend.Sender {
+	return &toucansend.Sender{Dialect: toucansend.Dialect{Request: "Request-Id", Deadline: "Deadline", Expect: "Expect-Target"}}
+}
+
+func do(t *testing.T, s *toucansend.Sender, tg *target, id string) (*toucansend.Response, error) {
+	t.Helper()
+	return s.Do(t.Context(), request(tg, id, 0), time.Second)
+}
+
+func request(tg *target, id string, limit int) *toucansend.Request {
+	h := http.Header{"Request-Id": {id}}
+	return &toucansend.Request{
+		Target: "t1", Address: tg.address, Limit: limit, Connect: time.Second,
+		Message: toucansend.NewMessage(id, http.MethodGet, "/p/x%2Fy?q=1", "a.example", h, nil),
+	}
+}
+
+func fateOf(t *testing.T, err error) toucansend.Fate {
+	t.Helper()
+	var e *toucansend.Error
+	require.ErrorAs(t, err, &e)
+	return e.Fate
+}
+
+// Guards against a changed path, a missing deadline or target, and a new
+// connection for each request.
+func TestRequestsTravelUnchangedOnOneConnection(t *testing.T) {
+	tg := listen(t, func(_ int, id string) string { return response(id, "body") })
+	s := sender()
+	for _, id := range []string{"1", "2", "3"} {
+		res, err := do(t, s, tg, id)
+		require.NoError(t, err)
+		require.Equal(t, "body", string(res.Body))
+		require.Equal(t, "/p/x%2Fy?q=1 1000 t1", <-tg.heads)
+	}
+	require.Equal(t, int32(1), tg.conns.Load())
+}
+
+// Guards against the response to an earlier request that is taken for the
+// response to this one.
+func TestLateExtraResponseIsSkipped(t *testing.T) {
+	tg := listen(t, func(nth int, id string) string {
+		if nth == 2 {
+			return response("1", "wrong") + response(id, "right")
+		}
+		return response(id, "right")
+	})
+	s := sender()
+	for _, id := range []string{"1", "2", "3"} {
+		res, err := do(t, s, tg, id)
+		require.NoError(t, err)
+		require.Equal(t, "right", string(res.Body))
+	}
+}
+
+// Guards against a response that ended early but looks complete.
+func TestBrokenResponsesAreFailures(t *testing.T) {
+	for name, text := range map[string]string{
+		"short body":  "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nabc",
+		"short chunk": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n40\r\nabc",
+		"no response": "",
+		"other bytes": "\x00\x01\x02 not HTTP at all\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			tg := listen(t, func(nth int, _ string) string {
+				if nth > 1 {
+					return ""
+				}
+				return text
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+			defer cancel()
+			_, err := sender().Do(ctx, request(tg, "1", 0), time.Second)
+			require.Equal(t, toucansend.Unknown, fateOf(t, err))
+		})
+	}
+}
+
+// Guards against more connections than this host may have.
+func TestConnectionsStayWithinTheLimit(t *testing.T) {
+	hold := make(chan struct{})
+	tg := listen(t, func(_ int, id string) string { <-hold; return response(id, "") })
+	s := sender()
+	ends := make(chan error, 2)
+	for range 2 {
+		go func() {
+			_, err := s.Do(context.Background(), request(tg, "1", 2), time.Second)
+			ends <- err
+		}()
+	}
+	<-tg.heads
+	<-tg.heads
+	_, err := s.Do(t.Context(), request(tg, "1", 2), time.Second)
+	require.Equal(t, toucansend.Full, fateOf(t, err))
+	close(hold)
+	require.NoError(t, <-ends)
+	require.NoError(t, <-ends)
+	require.Equal(t, int32(2), tg.conns.Load())
+}
+
+// Guards against a request that is sent on a connection which the target has
+// closed, and might have run there.
+func TestClosedConnectionIsNotUsed(t *testing.T) {
+	tg := listen(t, func(_ int, id string) string {
+		return strings.Replace(response(id, "x"), "Keep-Alive", "Connection: close\r\nKeep-Alive", 1)
+	})
+	s := sender()
+	for _, id := range []string{"1", "2"} {
+		_, err := do(t, s, tg, id)
+		require.NoError(t, err)
+	}
+	require.Equal(t, int32(2), tg.conns.Load())
+}
+
+// Guards against a wait for a target that answers before it has read a long
+// body, and against other bytes where the rest of the body is due.
+func TestEarlyResponseEndsTheConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	after := make(chan error, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		r := bufio.NewReader(c)
+		if _, err := http.ReadRequest(r); err != nil {
+			after <- err
+			return
+		}
+		_, _ = c.Write([]byte(response("1", "early")))
+		_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+		for err == nil {
+			_, err = r.Discard(4096)
+		}
+		after <- err
+	}()
+	body := make([]byte, 8<<20)
+	q := &toucansend.Request{
+		Target: "t1", Address: l.Addr().String(), Connect: time.Second,
+		Message: toucansend.NewMessage("1", http.MethodPost, "/", "a.example", http.Header{"Request-Id": {"1"}}, body),
+	}
+	res, err := sender().Do(t.Context(), q, time.Second)
+	require.NoError(t, err)
+	require.Equal(t, "early", string(res.Body))
+	var timeout net.Error
+	require.False(t, errors.As(<-after, &timeout) && timeout.Timeout(), "the connection stayed open")
+}
+
+// Guards against a request that is taken to have run though nobody listens.
+func TestUnreachableTargetDidNotRun(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+	_, err = sender().Do(t.Context(), request(&target{address: l.Addr().String()}, "1", 0), time.Second)
+	require.Equal(t, toucansend.Unreachable, fateOf(t, err))
+}
