--- a/toucanstair/toucanforward/gateway.go
+++ b/toucanstair/toucanforward/gateway.go
@@ -83,9 +83,14 @@
 }
 
 // Gather takes a request unless this host is stopping, is full, or has not
-// the rules that the caller's host has.
-func (s *Gateway) Gather(r *toucanpb.GatherRequest, stream grpc.ServerStreamingServer[toucanpb.GatherReply]) error {
+// the rules that the caller's host has. It sends nothing before the caller's host
+// has confirmed, since that gathers the request itself after a short time.
+func (s *Gateway) Gather(stream grpc.BidiStreamingServer[toucanpb.GatherRequest, toucanpb.GatherReply]) error {
 	f := s.Forwarder
+	r, err := stream.Recv()
+	if err != nil {
+		return err
+	}
 	var route *toucanrules.Route
 	if rules := s.RulesAt(r.GetRules()); rules != nil {
 		route = rules.Named(r.GetRoute())
@@ -101,6 +106,10 @@
 	if err := stream.Send(&toucanpb.GatherReply{Taken: true}); err != nil {
 		return err
 	}
+	if second, err := stream.Recv(); err != nil || !second.GetGo() {
+		f.Log.Info("request of another host not confirmed", zap.String("request", r.GetId()), zap.Error(err))
+		return err
+	}
 	e := &entry{id: r.GetId(), began: began, version: r.GetRules(), route: route.Name, handed: true}
 	defer f.report(e)
 	header := make(http.Header, len(r.GetFields()))
--- /dev/null
+++ b/toucanstair/toucanforward/gateway_test.go
@@ -0,0 +1,103 @@
+package toucanforward
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc"
+
+	"toucanstair.example/core/toucanpb"
+	"toucanstair.example/core/toucanreplica"
+	"toucanstair.example/toucanstair/toucangateway"
+	"toucanstair.example/toucanstair/toucanplace"
+	"toucanstair.example/toucanstair/toucanreader"
+	"toucanstair.example/toucanstair/toucanrules"
+)
+
+// serveGateway serves a host's gateway on a loopback address. Requests wait
+// for stall, where it is set, before the host reads them. The function that it
+// returns waits for all requests.
+func serveGateway(t *testing.T, s *setting, stall <-chan struct{}) (string, func()) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := grpc.NewServer(grpc.StreamInterceptor(func(srv any, stream grpc.ServerStream, _ *grpc.StreamServerInfo, h grpc.StreamHandler) error {
+		if stall != nil {
+			<-stall
+		}
+		return h(srv, stream)
+	}))
+	toucanpb.RegisterGatewayServer(server, &Gateway{Forwarder: s.Forwarder, RulesAt: func(v uint64) *toucanrules.Rules {
+		if v != s.orders.rules.Version {
+			return nil
+		}
+		return s.orders.rules
+	}})
+	end := make(chan error, 1)
+	go func() { end <- server.Serve(l) }()
+	t.Cleanup(func() {
+		server.Stop()
+		require.NoError(t, <-end)
+	})
+	return l.Addr().String(), server.GracefulStop
+}
+
+// handTo makes s hand its requests to the host at an address, once connected.
+func handTo(t *testing.T, s *setting, address string) {
+	placer := &toucanplace.Placer{Self: toucanreader.Peer{ID: "weak", Zone: "a", Power: 100}}
+	placer.Update([]toucanreader.Peer{{ID: "strong", Zone: "a", Power: 800, Address: address}})
+	client := &toucangateway.Client{}
+	t.Cleanup(func() { client.Retain(nil) })
+	s.Handing = &Handing{Placer: placer, Client: client}
+	require.Eventually(t, func() bool {
+		_, err := client.Gather(context.Background(), address, &toucanpb.GatherRequest{Rules: 99})
+		return errors.Is(err, toucangateway.ErrNotTaken)
+	}, 5*time.Second, 10*time.Millisecond)
+}
+
+func quick(toucanreplica.ID, int) conduct { return conduct{takes: time.Millisecond} }
+
+// Guards against a weak host that sends to all shards itself.
+func TestStrongHostGathersForAWeakOne(t *testing.T) {
+	strong, weak := newSetting(8, quick), newSetting(8, quick)
+	address, _ := serveGateway(t, strong, nil)
+	handTo(t, weak, address)
+	w, _ := weak.ask(t.Context())
+	require.Equal(t, http.StatusOK, w.Code)
+	require.Equal(t, "0", w.Header().Get(dialect.Missing))
+	require.Zero(t, weak.world.sum(weak.world.arrived))
+	require.Equal(t, 8, strong.world.sum(strong.world.arrived))
+}
+
+// Guards against a request that two hosts gather: one that reads it late must
+// send nothing, because the other has gathered it by then. Requests ran on three
+// targets of a shard where two were allowed.
+func TestStalledHostSendsNothing(t *testing.T) {
+	strong, weak := newSetting(8, quick), newSetting(8, quick)
+	stall := make(chan struct{})
+	address, finish := serveGateway(t, strong, stall)
+	handTo(t, weak, address)
+	w, _ := weak.ask(t.Context())
+	require.Equal(t, http.StatusOK, w.Code)
+	require.Equal(t, 8, weak.world.sum(weak.world.arrived))
+	close(stall)
+	finish()
+	require.Zero(t, strong.world.sum(strong.world.arrived))
+}
+
+// Guards against a request that is handled by other rules than the host has
+// that the caller asked.
+func TestHostWithoutTheRulesIsPassedOver(t *testing.T) {
+	strong, weak := newSetting(8, quick), newSetting(8, quick)
+	weak.orders.rules.Version = 2
+	address, _ := serveGateway(t, strong, nil)
+	handTo(t, weak, address)
+	w, _ := weak.ask(t.Context())
+	require.Equal(t, http.StatusOK, w.Code)
+	require.Zero(t, strong.world.sum(strong.world.arrived))
+	require.Equal(t, 8, weak.world.sum(weak.world.arrived))
+}
--- a/toucanstair/toucangateway/client.go
+++ b/toucanstair/toucangateway/client.go
@@ -54,7 +54,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	late := time.AfterFunc(takeTime, cancel)
-	stream, err := toucanpb.NewGatewayClient(conn).Gather(ctx, r)
+	stream, err := toucanpb.NewGatewayClient(conn).Gather(ctx)
+	if err == nil {
+		err = stream.Send(r)
+	}
 	if err != nil {
 		return nil, errors.Join(ErrNotTaken, err)
 	}
@@ -62,12 +65,17 @@
 	switch {
 	case err != nil:
 		return nil, errors.Join(ErrNotTaken, err)
-	case !first.GetTaken():
-		return nil, ErrNotTaken
-	case !late.Stop():
-		// The request is cancelled already.
+	case !first.GetTaken(), !late.Stop():
 		return nil, ErrNotTaken
 	}
+	// Without this message the host sends nothing, however late it reads the
+	// first one.
+	if err := stream.Send(&toucanpb.GatherRequest{Go: true}); err != nil {
+		return nil, err
+	}
+	if err := stream.CloseSend(); err != nil {
+		return nil, err
+	}
 	return stream.Recv()
 }
 
