--- a/toucanstair/toucanforward/gateway_test.go
+++ b/toucanstair/toucanforward/gateway_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,15 +20,20 @@
 	"toucanstair.example/toucanstair/toucanrules"
 )
 
-// serveGateway serves a host's gateway on a loopback address. Requests wait
-// for stall, where it is set, before the host reads them. The function that it
-// returns waits for all requests.
-func serveGateway(t *testing.T, s *setting, stall <-chan struct{}) (string, func()) {
+// heldStream holds up what the host sends until after its peer's patience.
+type heldStream struct{ grpc.ServerStream }
+
+func (heldStream) SendMsg(any) error { return nil }
+
+// serveGateway serves a host's gateway on a loopback address; while held is
+// set, none of its messages arrives. The function that it returns waits for all
+// requests.
+func serveGateway(t *testing.T, s *setting, held *atomic.Bool) (string, func()) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	server := grpc.NewServer(grpc.StreamInterceptor(func(srv any, stream grpc.ServerStream, _ *grpc.StreamServerInfo, h grpc.StreamHandler) error {
-		if stall != nil {
-			<-stall
+		if held.Load() {
+			stream = heldStream{stream}
 		}
 		return h(srv, stream)
 	}))
@@ -64,7 +70,7 @@
 // Guards against a weak host that sends to all shards itself.
 func TestStrongHostGathersForAWeakOne(t *testing.T) {
 	strong, weak := newSetting(8, quick), newSetting(8, quick)
-	address, _ := serveGateway(t, strong, nil)
+	address, _ := serveGateway(t, strong, &atomic.Bool{})
 	handTo(t, weak, address)
 	w, _ := weak.ask(t.Context())
 	require.Equal(t, http.StatusOK, w.Code)
@@ -73,18 +79,18 @@
 	require.Equal(t, 8, strong.world.sum(strong.world.arrived))
 }
 
-// Guards against a request that two hosts gather: one that reads it late must
-// send nothing, because the other has gathered it by then. Requests ran on three
+// Guards against a request that two hosts gather: when word that one takes it
+// comes late, the other has gathered it by then. Requests ran on three
 // targets of a shard where two were allowed.
 func TestStalledHostSendsNothing(t *testing.T) {
 	strong, weak := newSetting(8, quick), newSetting(8, quick)
-	stall := make(chan struct{})
-	address, finish := serveGateway(t, strong, stall)
+	var held atomic.Bool
+	address, finish := serveGateway(t, strong, &held)
 	handTo(t, weak, address)
+	held.Store(true)
 	w, _ := weak.ask(t.Context())
 	require.Equal(t, http.StatusOK, w.Code)
 	require.Equal(t, 8, weak.world.sum(weak.world.arrived))
-	close(stall)
 	finish()
 	require.Zero(t, strong.world.sum(strong.world.arrived))
 }
@@ -94,7 +100,7 @@
 func TestHostWithoutTheRulesIsPassedOver(t *testing.T) {
 	strong, weak := newSetting(8, quick), newSetting(8, quick)
 	weak.orders.rules.Version = 2
-	address, _ := serveGateway(t, strong, nil)
+	address, _ := serveGateway(t, strong, &atomic.Bool{})
 	handTo(t, weak, address)
 	w, _ := weak.ask(t.Context())
 	require.Equal(t, http.StatusOK, w.Code)
