--- a/toucanstair/toucanfollow/follower_test.go
+++ b/toucanstair/toucanfollow/follower_test.go
@@ -163,20 +163,20 @@
 		const seconds = 30
 		for i := range seconds * 50 {
 			s.put(fmt.Sprint("t/", i%100), fmt.Sprint("ready ", i))
-			time.Sleep(20 * time.Millisecond)
+			<-time.After(20 * time.Millisecond)
 		}
 		require.Less(t, s.calls, 2*seconds)
 		s.put("t/5", "draining")
 		s.put("rules", "2")
 		s.put("out/b", "")
-		time.Sleep(within / 2)
+		<-time.After(within / 2)
 		require.Equal(t, uint64(2), version(f))
 		require.True(t, f.Out()["b"])
 		for _, target := range f.Roster.Listed("s") {
 			require.NotEqual(t, toucanreplica.ID("5"), target.ID)
 		}
 		s.remove("out/b")
-		time.Sleep(within / 2)
+		<-time.After(within / 2)
 		require.Empty(t, f.Out())
 	})
 }
@@ -187,12 +187,12 @@
 		s := newStore()
 		s.put("rules", "1")
 		f := follow(t, s)
-		time.Sleep(time.Second)
+		<-time.After(time.Second)
 		s.set(func() { s.silent = true })
-		time.Sleep(10 * time.Second)
+		<-time.After(10 * time.Second)
 		s.put("rules", "2")
 		s.set(func() { s.silent = false })
-		time.Sleep(within)
+		<-time.After(within)
 		require.Equal(t, uint64(2), version(f))
 	})
 }
@@ -211,15 +211,15 @@
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		end := f.Run(ctx)
-		time.Sleep(time.Second)
+		<-time.After(time.Second)
 		s.set(func() { s.down = true })
 		for i := range 1500 {
 			s.put(fmt.Sprint("t/", i%100), fmt.Sprint("ready ", i))
 		}
 		s.put("rules", "2")
-		time.Sleep(5 * time.Second)
+		<-time.After(5 * time.Second)
 		s.set(func() { s.down = false })
-		time.Sleep(within / 2)
+		<-time.After(within / 2)
 		require.Equal(t, uint64(2), version(f))
 		cancel()
 		require.NoError(t, <-end)
@@ -248,7 +248,7 @@
 		s := newStore()
 		s.put("rules", "7")
 		f := follow(t, s)
-		time.Sleep(time.Second)
+		<-time.After(time.Second)
 		newest := version(f)
 		require.Equal(t, uint64(7), newest)
 		for v := 8; v < 20; v++ {
@@ -258,13 +258,13 @@
 				s.set(func() { s.from, s.log = s.revision-1, nil })
 			}
 			for range 10 {
-				time.Sleep(200 * time.Millisecond)
+				<-time.After(200 * time.Millisecond)
 				require.GreaterOrEqual(t, version(f), newest)
 				newest = version(f)
 			}
 		}
 		s.set(func() { s.down = false })
-		time.Sleep(within)
+		<-time.After(within)
 		require.Equal(t, uint64(19), version(f))
 	})
 }
@@ -277,13 +277,13 @@
 		s.put("t/1", "ready")
 		s.put("t/2", "ready")
 		f := follow(t, s)
-		time.Sleep(time.Second)
+		<-time.After(time.Second)
 		require.Len(t, f.Roster.Listed("s"), 2)
 		s.set(func() { s.down = true })
-		time.Sleep(time.Second)
+		<-time.After(time.Second)
 		s.remove("t/2")
 		s.set(func() { s.from, s.log, s.down = s.revision, nil, false })
-		time.Sleep(within)
+		<-time.After(within)
 		require.Len(t, f.Roster.Listed("s"), 1)
 	})
 }
@@ -293,9 +293,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newStore()
 		follow(t, s)
-		time.Sleep(time.Second)
+		<-time.After(time.Second)
 		s.set(func() { s.down, s.calls = true, 0 })
-		time.Sleep(20 * time.Second)
+		<-time.After(20 * time.Second)
 		require.Less(t, s.calls, 50)
 		require.Greater(t, s.calls, 10)
 	})
--- a/toucanstair/toucanforward/forwarder_test.go
+++ b/toucanstair/toucanforward/forwarder_test.go
@@ -22,7 +22,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		f(t)
-		time.Sleep(2 * time.Second)
+		<-time.After(2 * time.Second)
 	})
 }
 
--- a/toucanstair/toucansend/sender.go
+++ b/toucanstair/toucansend/sender.go
@@ -31,7 +31,9 @@
 
 var (
 	dials = metrics.NewCounter("toucan_send_dials_total")
-	stray = metrics.NewCounter("toucan_send_stray_responses_total")
+	// unsent counts responses that came before the request body was sent.
+	unsent = metrics.NewCounter("toucan_send_early_responses_total")
+	stray  = metrics.NewCounter("toucan_send_stray_responses_total")
 )
 
 // Dialect names the headers that the system sets and reads at targets.
@@ -192,7 +194,9 @@
 	default:
 		// The target answered before the body was sent. Closing ends the write.
 		c.Close()
-		<-wrote
+		if e := <-wrote; e != nil && err == nil {
+			unsent.Inc()
+		}
 		return res, false, err
 	}
 }
@@ -224,35 +228,43 @@
 // earlier requests and are skipped.
 func (s *Sender) read(c *conn, r *Request) (*Response, bool, error) {
 	like := &http.Request{Method: r.Message.Method}
-	interim := 0
-	for range maxStray {
-		res, err := http.ReadResponse(c.r, like)
-		for err == nil && res.StatusCode < 200 && interim < maxInterim {
-			interim++
-			res, err = http.ReadResponse(c.r, like)
-		}
+	skipped, interim := 0, 0
+	for skipped < maxStray && interim < maxInterim {
+		res, last, err := readOne(c.r, like)
 		if err != nil {
 			return nil, false, err
 		}
-		body, err := readBody(res)
-		if err != nil {
-			return nil, false, err
+		if res.Status < 200 {
+			interim++
+			continue
 		}
 		if id := res.Header.Get(s.Dialect.Request); id != "" && id != r.Message.ID {
 			stray.Inc()
-			if res.Close {
+			if last {
 				return nil, false, errStray
 			}
+			skipped++
 			continue
 		}
 		c.keep(res.Header.Get("Keep-Alive"))
-		return &Response{res.StatusCode, res.Header, body}, !res.Close && c.r.Buffered() == 0, nil
+		return res, !last && c.r.Buffered() == 0, nil
 	}
 	return nil, false, errStray
 }
 
-func readBody(res *http.Response) ([]byte, error) {
+// readOne returns the next response and whether it is the last one of its
+// connection.
+func readOne(r *bufio.Reader, like *http.Request) (*Response, bool, error) {
+	res, err := http.ReadResponse(r, like)
+	if err != nil {
+		return nil, false, err
+	}
 	defer res.Body.Close()
+	body, err := readBody(res)
+	return &Response{res.StatusCode, res.Header, body}, res.Close, err
+}
+
+func readBody(res *http.Response) ([]byte, error) {
 	if res.ContentLength > maxBody {
 		return nil, errTooLarge
 	}
