--- a/toucanstair/toucanfollow/follower.go
+++ b/toucanstair/toucanfollow/follower.go
@@ -17,6 +17,7 @@
 
 	"toucanstair.example/core/toucanhost"
 	"toucanstair.example/core/toucanreplica"
+	"toucanstair.example/core/toucanservice"
 	"toucanstair.example/core/toucantimer"
 	"toucanstair.example/core/toucanzone"
 	"toucanstair.example/toucanstair/toucanfeed"
@@ -81,6 +82,8 @@
 	Left   toucanreplica.ID // a target whose entry is gone
 	Zone   toucanzone.Name  // a zone whose evacuation starts or ends
 	Out    bool
+	Moved  toucanservice.Name // a service whose requests are to move to Version, or no more
+	Hold   string             // that version; "": the order is gone
 	Peer   *toucanreader.Peer // a host
 	Parted toucanhost.ID      // a host whose entry is gone
 }
@@ -111,6 +114,7 @@
 	revision uint64                               // of the rules
 	recent   atomic.Pointer[[]*toucanrules.Rules] // newest first
 	out      atomic.Pointer[map[toucanzone.Name]bool]
+	held     sync.Map // toucanservice.Name to a version
 	peers    atomic.Pointer[map[toucanhost.ID]toucanreader.Peer]
 	listed   atomic.Bool
 	unsure   atomic.Int64 // last failure, Unix nanoseconds
@@ -147,6 +151,14 @@
 	return nil
 }
 
+// Held returns the version of a service's software that gets nothing, because
+// it is on order to take the requests over and has not been judged, or "".
+func (f *Follower) Held(s toucanservice.Name) string {
+	v, _ := f.held.Load(s)
+	held, _ := v.(string)
+	return held
+}
+
 // Peers returns the hosts that are listed, this one included once it is.
 func (f *Follower) Peers() []toucanreader.Peer {
 	if m := f.peers.Load(); m != nil {
--- a/toucanstair/toucanforward/bench_test.go
+++ b/toucanstair/toucanforward/bench_test.go
@@ -23,6 +23,7 @@
 type fixedGuide struct{ rules *toucanrules.Rules }
 
 func (g fixedGuide) Rules() *toucanrules.Rules     { return g.rules }
+func (fixedGuide) Held(toucanservice.Name) string  { return "" }
 func (g fixedGuide) Out() map[toucanzone.Name]bool { return nil }
 
 var dialect = toucansend.Dialect{
--- a/toucanstair/toucanforward/flight.go
+++ b/toucanstair/toucanforward/flight.go
@@ -182,7 +182,7 @@
 	g.live++
 	g.entry.sends++
 	r := &toucansend.Request{
-		Target: t.ID, Address: t.Address, Message: g.message, Limit: g.f.connections(t, g.route.Fans()), Fresh: !g.route.Idempotent,
+		Target: t.ID, Address: t.Address, Message: g.message, Limit: g.f.connections(t, g.route), Fresh: !g.route.Idempotent,
 		Connect: min(connectTime, g.limit.Sub(now)),
 	}
 	g.f.workers.Go(func() { g.exchange(i, t, r, now) })
--- a/toucanstair/toucanforward/forwarder.go
+++ b/toucanstair/toucanforward/forwarder.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"toucanstair.example/core/toucanreplica"
+	"toucanstair.example/core/toucanservice"
 	"toucanstair.example/core/toucanzone"
 	"toucanstair.example/toucanstair/toucanquota"
 	"toucanstair.example/toucanstair/toucanroster"
@@ -45,6 +46,7 @@
 type guide interface {
 	Rules() *toucanrules.Rules
 	Out() map[toucanzone.Name]bool
+	Held(s toucanservice.Name) string
 }
 
 type sender interface {
@@ -188,6 +190,18 @@
 }
 
 // need returns which targets of a service a route's requests may go to.
-func (f *Forwarder) need(route *toucanrules.Route, tried []toucanreplica.ID) toucanroster.Need {
-	return toucanroster.Need{Homes: route.Homes, Evacuated: f.Guide.Out(), Tried: tried}
+func (f *Forwarder) need(route *toucanrules.Route, s toucanservice.Name, tried []toucanreplica.ID) toucanroster.Need {
+	n := toucanroster.Need{Homes: route.Homes, Evacuated: f.Guide.Out(), Tried: tried, Held: f.Guide.Held(s)}
+	if rules := f.Guide.Rules(); rules != nil {
+		n.ColdRate = rules.Services[s].ColdRate * f.part(route)
+	}
+	return n
+}
+
+// part returns this host's part of what the targets of a route bear.
+func (f *Forwarder) part(route *toucanrules.Route) float64 {
+	if route.Fans() {
+		return f.Shared()
+	}
+	return f.Single()
 }
--- a/toucanstair/toucanforward/forwarder_test.go
+++ b/toucanstair/toucanforward/forwarder_test.go
@@ -13,6 +13,7 @@
 
 	"toucanstair.example/core/toucanreplica"
 	"toucanstair.example/core/toucanzone"
+	"toucanstair.example/toucanstair/toucanroster"
 	"toucanstair.example/toucanstair/toucanrules"
 	"toucanstair.example/toucanstair/toucansend"
 )
@@ -211,6 +212,63 @@
 	})
 }
 
+// Guards against requests for a version that is on order and has not been
+// judged.
+func TestVersionOnOrderGetsNothing(t *testing.T) {
+	play(t, func(t *testing.T) {
+		s := newSetting(0, quick)
+		s.Roster.Put(toucanroster.Entry{ID: "new", Service: "s0", Address: "10.0.0.1:1", Zone: "a", Slots: 2, Version: "v2"}, time.Now())
+		s.orders.held = "v2"
+		for range 50 {
+			w, _ := s.ask(t.Context())
+			require.Equal(t, http.StatusOK, w.Code)
+		}
+		require.Zero(t, s.world.arrived["new"])
+		s.Roster.Keep(map[toucanreplica.ID]bool{"new": true}, time.Now())
+		w, _ := s.ask(t.Context())
+		require.Equal(t, http.StatusOK, w.Code, "no other version is left")
+	})
+}
+
+// Plays a zone of cold targets under load from several hosts, and checks that
+// no target gets more in a second than it bears.
+func TestColdTargetsGetWhatTheyBear(t *testing.T) {
+	play(t, func(t *testing.T) {
+		const hosts, rate = 6, 10.0
+		var all []*setting
+		for range hosts {
+			s := newSetting(0, quick)
+			s.Single = func() float64 { return 1.0 / hosts }
+			s.orders.rules.Services["s0"] = toucanrules.Service{ColdRate: rate}
+			for _, target := range s.Roster.Listed("s0") {
+				target.SetCold(time.Now(), time.Minute)
+			}
+			all = append(all, s)
+		}
+		for range 5 {
+			before, most := map[toucanreplica.ID]int{}, map[toucanreplica.ID]int{}
+			for _, s := range all {
+				for id, n := range s.world.arrived {
+					before[id] += n
+				}
+			}
+			for second := time.Now(); time.Since(second) < time.Second; {
+				for _, s := range all {
+					s.ask(t.Context())
+				}
+			}
+			for _, s := range all {
+				for id, n := range s.world.arrived {
+					most[id] += n
+				}
+			}
+			for id, n := range most {
+				require.LessOrEqual(t, float64(n-before[id]), rate*1.5+5)
+			}
+		}
+	})
+}
+
 // Guards against extra load that grows with the trouble: when every target is
 // slow, repeats stay within the tokens.
 func TestRepeatsEndWithTheTokens(t *testing.T) {
--- a/toucanstair/toucanforward/leg.go
+++ b/toucanstair/toucanforward/leg.go
@@ -12,6 +12,7 @@
 	"toucanstair.example/core/toucanreplica"
 	"toucanstair.example/core/toucanservice"
 	"toucanstair.example/toucanstair/toucanroster"
+	"toucanstair.example/toucanstair/toucanrules"
 	"toucanstair.example/toucanstair/toucansend"
 )
 
@@ -76,7 +77,7 @@
 		return
 	}
 	ts := g.f.Roster.Listed(l.service)
-	need := g.f.need(g.route, append(slices.Clone(l.tried), l.refused...))
+	need := g.f.need(g.route, l.service, append(slices.Clone(l.tried), l.refused...))
 	t, expect := g.f.Chooser.Choose(ts, need, now)
 	if t == nil {
 		g.again(l, ts, now)
@@ -94,7 +95,7 @@
 // again plans another try at targets that refused or are out of reach for a
 // moment, or gives the leg up where there is none.
 func (g *flight) again(l *leg, ts []*toucanroster.Target, now time.Time) {
-	if !g.f.Chooser.Any(ts, g.f.need(g.route, l.tried)) {
+	if !g.f.Chooser.Any(ts, g.f.need(g.route, l.service, l.tried)) {
 		g.lose(l)
 		return
 	}
@@ -141,7 +142,7 @@
 		wait = v.Latency + hedgeSpread*v.Spread
 	}
 	if v.Latency == 0 && g.plan.Due.After(now) {
-		need := g.f.need(g.route, append(slices.Clone(l.tried), l.refused...))
+		need := g.f.need(g.route, l.service, append(slices.Clone(l.tried), l.refused...))
 		if other, takes := g.f.Chooser.Choose(g.f.Roster.Listed(l.service), need, now); other != nil {
 			wait = min(wait, g.plan.Due.Sub(now)-takes-hedgeSpare)
 		}
@@ -169,7 +170,7 @@
 		return
 	}
 	ts := g.f.Roster.Listed(l.service)
-	need := g.f.need(g.route, append(slices.Clone(l.tried), l.refused...))
+	need := g.f.need(g.route, l.service, append(slices.Clone(l.tried), l.refused...))
 	t, expect := g.f.Chooser.Choose(ts, need, now)
 	if now.Add(expect).After(g.limit) {
 		return
@@ -315,7 +316,7 @@
 }
 
 // connections returns how many connections this host may have to a target.
-func (f *Forwarder) connections(t *toucanroster.Target, fans bool) int {
+func (f *Forwarder) connections(t *toucanroster.Target, route *toucanrules.Route) int {
 	rules := f.Guide.Rules()
 	if rules == nil {
 		return 1
@@ -324,9 +325,5 @@
 	if all <= 0 {
 		return 0
 	}
-	part := f.Single()
-	if fans {
-		part = f.Shared()
-	}
-	return max(leastConnections, int(math.Ceil(connectionShare*float64(all)*part)))
+	return max(leastConnections, int(math.Ceil(connectionShare*float64(all)*f.part(route))))
 }
--- a/toucanstair/toucanforward/world_test.go
+++ b/toucanstair/toucanforward/world_test.go
@@ -96,10 +96,12 @@
 type orders struct {
 	rules *toucanrules.Rules
 	out   map[toucanzone.Name]bool
+	held  string
 }
 
-func (o *orders) Rules() *toucanrules.Rules     { return o.rules }
-func (o *orders) Out() map[toucanzone.Name]bool { return o.out }
+func (o *orders) Rules() *toucanrules.Rules      { return o.rules }
+func (o *orders) Held(toucanservice.Name) string { return o.held }
+func (o *orders) Out() map[toucanzone.Name]bool  { return o.out }
 
 // setting is a host with one route and targets in zones a and b.
 type setting struct {
--- a/toucanstair/toucanroster/choose.go
+++ b/toucanstair/toucanroster/choose.go
@@ -40,12 +40,14 @@
 	Homes     []toucanrules.Region     // regions that may serve it; empty: all
 	Evacuated map[toucanzone.Name]bool // zones that get nothing
 	Tried     []toucanreplica.ID       // targets that have got it
-	Version   string                   // only this version of the software; "": any
+	Held      string                   // version of the software that gets nothing; "": none
+	ColdRate  float64                  // requests a second that a cold target bears from this host; 0: no limit
 }
 
 // Choose returns the target with the least expected time to respond and that
 // time, or nil when no target may be used.
 func (c *Chooser) Choose(ts []*Target, n Need, now time.Time) (*Target, time.Duration) {
+	n = n.among(ts)
 	var best *Target
 	var least time.Duration
 	for _, t := range ts {
@@ -53,27 +55,39 @@
 			continue
 		}
 		v := t.Load.View(now)
-		if v.Banned {
+		if v.Banned || n.ColdRate > 0 && t.Cold(now) && !t.warm.ready(now, n.ColdRate) {
 			continue
 		}
 		if e := c.Expect(t, v, now); best == nil || e < least {
 			best, least = t, e
 		}
 	}
+	if best != nil && n.ColdRate > 0 && best.Cold(now) {
+		best.warm.take()
+	}
 	return best, least
 }
 
 // Any reports whether a request may go to at least one target, also one that
 // is out of reach for a moment.
 func (c *Chooser) Any(ts []*Target, n Need) bool {
+	n = n.among(ts)
 	return slices.ContainsFunc(ts, func(t *Target) bool { return c.allows(t, n) })
 }
 
+// among holds back no version where there is no other one.
+func (n Need) among(ts []*Target) Need {
+	if n.Held != "" && !slices.ContainsFunc(ts, func(t *Target) bool { return t.Version != n.Held }) {
+		n.Held = ""
+	}
+	return n
+}
+
 func (c *Chooser) allows(t *Target, n Need) bool {
 	switch {
 	case n.Evacuated[t.Zone], slices.Contains(n.Tried, t.ID):
 		return false
-	case n.Version != "" && t.Version != n.Version:
+	case n.Held != "" && t.Version == n.Held:
 		return false
 	case len(n.Homes) > 0 && !slices.Contains(n.Homes, c.Places[t.Zone]):
 		return false
--- a/toucanstair/toucanroster/roster.go
+++ b/toucanstair/toucanroster/roster.go
@@ -39,6 +39,7 @@
 type Target struct {
 	Entry
 	Load  Load
+	warm  warm
 	until atomic.Int64 // end of the cold time, Unix nanoseconds
 	gone  time.Time    // when the entry went; guarded by the roster
 }
