--- a/toucanstair/toucanforward/leg.go
+++ b/toucanstair/toucanforward/leg.go
@@ -17,7 +17,8 @@
 )
 
 const (
-	// maxSends bounds the exchanges of one leg, those that did not run included.
+	// maxSends bounds the exchanges of one leg that reached a target, those that
+	// did not run included.
 	maxSends = 6
 	// connectTime bounds the making of a connection: the way to another region
 	// and back, twice, and the target's own time.
@@ -105,7 +106,6 @@
 		return
 	}
 	l.refused = l.refused[:0]
-	l.sends++
 	l.wake = at
 }
 
@@ -210,6 +210,7 @@
 		l.tried = slices.DeleteFunc(l.tried, func(t toucanreplica.ID) bool { return t == id })
 		l.refused = append(l.refused, id)
 	case unsent:
+		l.sends--
 		g.entry.note("not sent to " + string(id) + ": " + ev.err.Error())
 		l.tried = slices.DeleteFunc(l.tried, func(t toucanreplica.ID) bool { return t == id })
 		l.refused = append(l.refused, id)
