--- a/toucanstair/toucanforward/leg.go
+++ b/toucanstair/toucanforward/leg.go
@@ -33,13 +33,16 @@
 	hedgeAgain = 15 * time.Millisecond
 	// refusedPause is the pause before a target that refused is asked again.
 	refusedPause = 12 * time.Millisecond
+	// patiencePart is the part of the objective, one in so many, that a request
+	// waits for a target that can take it.
+	patiencePart = 4
 	// retryReserve is the part of the tokens that hedges leave to retries.
 	retryReserve = 0.05
 	// connectionShare is the share of a target's connections that the hosts use
 	// together. The rest is for hosts that start again while a target still keeps
 	// the connections of their former life, and for targets that accept fewer
 	// while their queue is long.
-	connectionShare = 0.9
+	connectionShare = 0.6
 	// leastConnections lets a second request pass one that a target holds up.
 	leastConnections = 2
 )
@@ -56,6 +59,7 @@
 	tried    []toucanreplica.ID // may have run it, or have it now
 	refused  []toucanreplica.ID // have said that they did not run it
 	arrived  bool               // an exchange reached a target
+	busy     bool               // a target was there, but had no room
 	sends    int
 	live     int
 	done     bool
@@ -93,15 +97,15 @@
 	g.send(i, t, now)
 }
 
-// again plans another try at targets that refused or are out of reach for a
-// moment, or gives the leg up where there is none.
+// again plans another try at targets that are busy or out of reach for a
+// moment, or gives the leg up where there is none or it has waited long enough.
 func (g *flight) again(l *leg, ts []*toucanroster.Target, now time.Time) {
 	if !g.f.Chooser.Any(ts, g.f.need(g.route, l.service, l.tried)) {
 		g.lose(l)
 		return
 	}
 	at := now.Add(refusedPause)
-	if !at.Before(g.limit) || !g.route.Fans() && len(l.refused) > 0 {
+	if at.After(g.patience(l)) {
 		g.lose(l)
 		return
 	}
@@ -109,6 +113,20 @@
 	l.wake = at
 }
 
+// patience returns until when a leg waits for a target: a shard's until the
+// response is due while its targets are only busy, others for a part of the
+// objective, after which the caller does better to come back.
+func (g *flight) patience(l *leg) time.Time {
+	until := g.entry.began.Add(g.route.Target / patiencePart)
+	if g.route.Fans() && l.busy && g.plan.Due.After(until) {
+		until = g.plan.Due
+	}
+	if g.limit.Before(until) {
+		return g.limit
+	}
+	return until
+}
+
 // repeat takes a token for one more arrival.
 func (g *flight) repeat(l *leg, reserve float64) bool {
 	if !g.f.Quota.Take(l.service, reserve) {
@@ -205,12 +223,13 @@
 		g.plan.Arrived()
 		return
 	case notRun:
-		l.arrived = true
+		l.arrived, l.busy = true, true
 		g.entry.note("refused by " + string(id))
 		l.tried = slices.DeleteFunc(l.tried, func(t toucanreplica.ID) bool { return t == id })
 		l.refused = append(l.refused, id)
 	case unsent:
 		l.sends--
+		l.busy = l.busy || ev.err.Fate == toucansend.Full
 		g.entry.note("not sent to " + string(id) + ": " + ev.err.Error())
 		l.tried = slices.DeleteFunc(l.tried, func(t toucanreplica.ID) bool { return t == id })
 		l.refused = append(l.refused, id)
