--- a/toucanstair/toucansend/pool.go
+++ b/toucanstair/toucansend/pool.go
@@ -23,9 +23,14 @@
 	// freshFor is how long after its last use a connection may carry a request
 	// that can't be repeated.
 	freshFor = 2 * time.Second
+	// readBuffer holds the headers of a usual response, in bytes.
+	readBuffer = 2048
 	// trustFor is how long after its last use a connection is taken to be open
 	// without a look.
 	trustFor = 100 * time.Millisecond
+	// narrowTime is how long a target that reset a new connection gets no more
+	// than it had then.
+	narrowTime = 1500 * time.Millisecond
 	// probeIdle, probeEvery and probeCount end a connection whose other side
 	// is silent after about 3 s.
 	probeIdle  = time.Second
@@ -45,9 +50,10 @@
 
 type conn struct {
 	net.Conn
-	r    *bufio.Reader
-	idle time.Duration // how long the target keeps the connection idle
-	used time.Time
+	r     *bufio.Reader
+	fresh bool          // it has carried no response yet
+	idle  time.Duration // how long the target keeps the connection idle
+	used  time.Time
 }
 
 // keep reads the idle time of a Keep-Alive header.
@@ -130,6 +136,24 @@
 	idle   []*conn // most recently used last
 	open   int     // idle and in use
 	closed bool
+	least  int       // connections that the target accepted when it last reset one
+	until  time.Time // how long least is the limit
+}
+
+// limit returns how many connections may be open now; 0 means any number.
+func (p *pool) limit(most int, now time.Time) int {
+	if most > 0 && now.Before(p.until) {
+		return min(most, p.least)
+	}
+	return most
+}
+
+// narrow notes that the target reset a new connection, as it does while it
+// has more than it accepts.
+func (p *pool) narrow() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.least, p.until = max(1, p.open-1), time.Now().Add(narrowTime)
 }
 
 // take returns an idle connection or makes one.
@@ -150,7 +174,7 @@
 		p.open--
 		c.Close()
 	}
-	if r.Limit > 0 && p.open >= r.Limit {
+	if most := p.limit(r.Limit, now); most > 0 && p.open >= most {
 		p.mu.Unlock()
 		return nil, Full, errFull
 	}
@@ -169,7 +193,7 @@
 		}
 		return nil, Unreachable, err
 	}
-	return newConn(c), 0, nil
+	return &conn{Conn: c, r: bufio.NewReaderSize(c, readBuffer), fresh: true}, 0, nil
 }
 
 // ready reports whether there is an idle connection.
@@ -181,7 +205,7 @@
 }
 
 func (p *pool) give(c *conn) {
-	c.used = time.Now()
+	c.used, c.fresh = time.Now(), false
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
--- a/toucanstair/toucansend/sender.go
+++ b/toucanstair/toucansend/sender.go
@@ -6,10 +6,12 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -159,6 +161,9 @@
 		p.give(c)
 	}
 	if err != nil {
+		if c.fresh && errors.Is(err, syscall.ECONNRESET) {
+			p.narrow()
+		}
 		return nil, &Error{Unknown, err}
 	}
 	return res, nil
@@ -279,7 +284,3 @@
 	}
 	return b, err
 }
-
-func newConn(c net.Conn) *conn {
-	return &conn{Conn: c, r: bufio.NewReaderSize(c, 2048)}
-}
