Open no more connections to a target that resets new ones

Cause: in the incidents a lone replica of a shard reset connections over its cap, and each reset counted as a request that may have run.

--- a/toucanstair/toucanforward/leg.go
+++ b/toucanstair/toucanforward/leg.go
@@ -42,7 +42,7 @@
 	// together. The rest is for hosts that start again while a target still keeps
 	// the connections of their former life, and for targets that accept fewer
 	// while their queue is long.
-	connectionShare = 0.9
+	connectionShare = 0.6
 	// leastConnections lets a second request pass one that a target holds up.
 	leastConnections = 2
 )
--- a/toucanstair/toucansend/sender_test.go
+++ b/toucanstair/toucansend/sender_test.go
@@ -26,6 +26,11 @@
 }
 
 func listen(t *testing.T, script func(nth int, id string) string) *target {
+	return listenWith(t, func(net.Conn) {}, script)
+}
+
+// listenWith is listen with a function that sees each new connection.
+func listenWith(t *testing.T, accept func(net.Conn), script func(nth int, id string) string) *target {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { l.Close() })
@@ -38,6 +43,7 @@
 				return
 			}
 			tg.conns.Add(1)
+			accept(c)
 			go func() {
 				defer c.Close()
 				r := bufio.NewReader(c)
@@ -224,3 +230,30 @@
 	_, err = sender().Do(t.Context(), request(&target{address: l.Addr().String()}, "1", 0), time.Second)
 	require.Equal(t, toucansend.Unreachable, fateOf(t, err))
 }
+
+// Guards against new connections to a target that resets them because it has
+// more than it accepts.
+func TestResetOfANewConnectionLowersTheLimit(t *testing.T) {
+	var resets atomic.Bool
+	hold := make(chan struct{})
+	tg := listenWith(t, func(c net.Conn) {
+		if resets.Load() {
+			_ = c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		}
+	}, func(_ int, id string) string { <-hold; return response(id, "") })
+	s := sender()
+	first := make(chan error, 1)
+	go func() {
+		_, err := s.Do(context.Background(), request(tg, "1", 4), time.Second)
+		first <- err
+	}()
+	<-tg.heads
+	resets.Store(true)
+	_, err := s.Do(t.Context(), request(tg, "2", 4), time.Second)
+	require.Equal(t, toucansend.Unknown, fateOf(t, err))
+	_, err = s.Do(t.Context(), request(tg, "3", 4), time.Second)
+	require.Equal(t, toucansend.Full, fateOf(t, err))
+	close(hold)
+	require.NoError(t, <-first)
+}
