--- /dev/null
+++ b/toucanstair/toucanfeed/feed_test.go
@@ -0,0 +1,81 @@
+package toucanfeed_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc"
+
+	"toucanstair.example/core/toucanpb"
+	"toucanstair.example/toucanstair/toucanfeed"
+	"toucanstair.example/toucanstair/toucanmirror"
+)
+
+func serve(t *testing.T, m *toucanmirror.Mirror) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := grpc.NewServer()
+	toucanpb.RegisterFeedServer(server, &toucanfeed.Server{Mirror: m})
+	end := make(chan error, 1)
+	go func() { end <- server.Serve(l) }()
+	t.Cleanup(func() {
+		server.Stop()
+		require.NoError(t, <-end)
+	})
+	return l.Addr().String()
+}
+
+var limits = toucanfeed.Limits{Silence: 5 * time.Second, Age: time.Minute}
+
+func put(m *toucanmirror.Mirror, key string, revision uint64, whole bool) {
+	m.Apply(toucanmirror.Batch{Items: []toucanmirror.Item{{Key: key, Revision: revision}}, Whole: whole, At: revision}, time.Now())
+}
+
+// Guards against a follower that lacks what was there, what changes later, or
+// how old it is.
+func TestFollowerGetsAllAndThenChanges(t *testing.T) {
+	var m toucanmirror.Mirror
+	put(&m, "a", 5, true)
+	address := serve(t, &m)
+	ctx, cancel := context.WithCancel(t.Context())
+	batches := make(chan toucanmirror.Batch, 100)
+	end := make(chan error, 1)
+	go func() {
+		end <- toucanfeed.Follow(ctx, address, 0, limits, func(b toucanmirror.Batch, confirmed time.Time) {
+			if time.Since(confirmed) < time.Minute && len(b.Items) > 0 {
+				batches <- b
+			}
+		})
+	}()
+	first := <-batches
+	require.True(t, first.Whole)
+	require.Equal(t, uint64(5), first.At)
+	put(&m, "b", 6, false)
+	second := <-batches
+	require.False(t, second.Whole)
+	require.Equal(t, "b", second.Items[0].Key)
+	cancel()
+	require.Error(t, <-end)
+}
+
+// Guards against a host that trusts another which has lost the store.
+func TestFeedThatIsTooOldIsGivenUp(t *testing.T) {
+	var m toucanmirror.Mirror
+	m.Apply(toucanmirror.Batch{Whole: true, At: 5}, time.Now().Add(-time.Hour))
+	err := toucanfeed.Follow(t.Context(), serve(t, &m), 5, limits, func(toucanmirror.Batch, time.Time) {})
+	var old *toucanfeed.Error
+	require.ErrorAs(t, err, &old)
+	require.Greater(t, old.Age, 59*time.Minute)
+}
+
+// Guards against a host that waits on a feed which has gone silent.
+func TestSilentFeedIsGivenUp(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	short := toucanfeed.Limits{Silence: 50 * time.Millisecond, Age: time.Minute}
+	require.Error(t, toucanfeed.Follow(t.Context(), l.Addr().String(), 0, short, func(toucanmirror.Batch, time.Time) {}))
+}
--- /dev/null
+++ b/toucanstair/toucanregister/register_test.go
@@ -0,0 +1,117 @@
+package toucanregister_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"toucanstair.example/toucanstair/toucanreader"
+	"toucanstair.example/toucanstair/toucanregister"
+)
+
+type refused struct{}
+
+func (refused) Error() string { return "try later" }
+
+// store keeps leased keys, and ends leases that are not renewed.
+type store struct {
+	mu     sync.Mutex
+	down   bool
+	until  map[toucanregister.Lease]time.Time
+	keys   map[string]toucanregister.Lease
+	value  []byte
+	grants int
+}
+
+func (s *store) Grant(_ context.Context, ttl time.Duration) (toucanregister.Lease, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return "", refused{}
+	}
+	s.grants++
+	l := toucanregister.Lease(fmt.Sprint(s.grants))
+	s.until[l] = time.Now().Add(ttl)
+	return l, nil
+}
+
+func (s *store) Renew(_ context.Context, l toucanregister.Lease) (bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return false, refused{}
+	}
+	if time.Now().After(s.until[l]) {
+		return false, nil
+	}
+	s.until[l] = time.Now().Add(9 * time.Second)
+	return true, nil
+}
+
+func (s *store) End(_ context.Context, l toucanregister.Lease) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.until, l)
+	return nil
+}
+
+func (s *store) Put(_ context.Context, key string, value []byte, l toucanregister.Lease) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return refused{}
+	}
+	s.keys[key], s.value = l, value
+	return nil
+}
+
+func (s *store) listed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l, ok := s.keys["hosts/h"]
+	return ok && time.Now().Before(s.until[l])
+}
+
+func (s *store) set(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+// Guards against a host whose entry lapses while it lives and reaches the
+// store, does not come back after an outage, or stays when the host stops.
+func TestEntryLivesAsLongAsTheHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{until: map[toucanregister.Lease]time.Time{}, keys: map[string]toucanregister.Lease{}}
+		self := toucanreader.Peer{ID: "h", Zone: "a", Address: "10.0.0.1:7300", Power: 400}
+		ctx, cancel := context.WithCancel(t.Context())
+		end := (&toucanregister.Register{Store: s, Self: self, Log: zap.NewNop()}).Run(ctx)
+		for range 60 {
+			<-time.After(2 * time.Second)
+			require.True(t, s.listed())
+		}
+		require.Equal(t, 1, s.grants)
+		require.Equal(t, &self, toucanregister.Decode("hosts/h", s.value))
+		s.set(true)
+		<-time.After(20 * time.Second)
+		require.False(t, s.listed())
+		s.set(false)
+		<-time.After(5 * time.Second)
+		require.True(t, s.listed())
+		cancel()
+		require.NoError(t, <-end)
+		require.False(t, s.listed())
+	})
+}
+
+// Guards against an entry of another writer that is taken for a host.
+func TestEntryThatCanNotBeReadNamesNoHost(t *testing.T) {
+	require.Nil(t, toucanregister.Decode("hosts/", []byte(`{}`)))
+	require.Nil(t, toucanregister.Decode("hosts/h", []byte(`[`)))
+}
