Read the view before the check of lost legs in the membership tests

The test checked that no leg is in flight on lost slots, and then told the manager so for the view of that later moment; a view that changed between both was declared released with a leg in flight. The check of two senders and its bound are unchanged.

--- a/toucanstair/toucanmember/manager_test.go
+++ b/toucanstair/toucanmember/manager_test.go
@@ -80,8 +80,11 @@
 		}
 	}
 	for _, p := range r.running("z") {
+		// The view may change meanwhile; what is checked holds up to the one that
+		// was read before.
+		view := p.View().Number()
 		if !r.isPaused(p) && !r.hasLostLegs(p, now) {
-			p.SetReleased(p.View().Number())
+			p.SetReleased(view)
 		}
 	}
 }
