--- a/toucanstair/toucanentry/entry.go
+++ b/toucanstair/toucanentry/entry.go
@@ -93,15 +93,19 @@
 	Dialect  toucansend.Dialect
 	Store    store
 	Decode   func(toucanmirror.Item) (toucanfollow.Change, error)
-	Log      *zap.Logger
+	// Reload reads the settings again; nil means that they can't change.
+	Reload func() (Settings, error)
+	Log    *zap.Logger
 
 	stopping atomic.Bool
+	repeats  atomic.Pointer[Repeats] // as last read
 }
 
 // Run serves until a signal asks it to stop, and returns nil when no request
 // was interrupted.
 func (e *Entry) Run(ctx context.Context, signals <-chan os.Signal) error {
 	s := &e.Settings
+	e.repeats.Store(&s.Repeats)
 	if s.Memory > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory)))
 	}
@@ -117,8 +121,8 @@
 	}
 	placer := &toucanplace.Placer{Self: self, Least: max(1, s.Hosts)}
 	placer.Update(nil)
-	quota := &toucanquota.Quota{Ratio: ratioShare * s.Repeats.Ratio}
-	quota.SetBurst(e.burst(placer))
+	quota := &toucanquota.Quota{}
+	e.divide(quota, placer)
 	forwarder := &toucanforward.Forwarder{
 		Dialect: e.Dialect, Guide: follower, Roster: roster, Sender: sender, Log: e.Log,
 		Chooser: &toucanroster.Chooser{Zone: s.Zone, Region: s.Region, Places: s.Places, Connected: func(t *toucanroster.Target) bool {
@@ -177,15 +181,32 @@
 	go func() {
 		for toucantimer.Wait(ctx, shareTime) {
 			p.Update(f.Peers())
-			q.SetBurst(e.burst(p))
+			e.divide(q, p)
 		}
 		end <- nil
 	}()
 	return end
 }
 
-func (e *Entry) burst(p *toucanplace.Placer) float64 {
-	return max(1, slackShare*e.Settings.Repeats.Slack*p.Part())
+// divide gives the quota this host's part of the operators' bound.
+func (e *Entry) divide(q *toucanquota.Quota, p *toucanplace.Placer) {
+	r := e.repeats.Load()
+	q.Set(ratioShare*r.Ratio, max(1, slackShare*r.Slack*p.Part()))
+}
+
+// reload takes in the bounds on repeats; addresses, bounds on time and memory
+// are those of the start. Settings that can't be used change nothing.
+func (e *Entry) reload() {
+	if e.Reload == nil {
+		return
+	}
+	s, err := e.Reload()
+	if err != nil {
+		e.Log.Warn("settings not reloaded, the former ones stay", zap.Error(err))
+		return
+	}
+	e.repeats.Store(&s.Repeats)
+	e.Log.Info("settings reloaded", zap.Float64("ratio", s.Repeats.Ratio), zap.Float64("slack", s.Repeats.Slack))
 }
 
 // servePeers serves the other hosts until ctx ends.
@@ -212,7 +233,7 @@
 		select {
 		case sig := <-signals:
 			if sig == syscall.SIGHUP {
-				e.Log.Info("reload asked for; addresses and bounds stay as they were at the start")
+				e.reload()
 				continue
 			}
 			e.Log.Info("stop asked for", zap.String("signal", sig.String()))
--- a/toucanstair/toucanforward/forwarder_test.go
+++ b/toucanstair/toucanforward/forwarder_test.go
@@ -274,7 +274,7 @@
 func TestRepeatsEndWithTheTokens(t *testing.T) {
 	play(t, func(t *testing.T) {
 		s := newSetting(4, func(toucanreplica.ID, int) conduct { return conduct{takes: 700 * time.Millisecond} })
-		s.Quota.SetBurst(3)
+		s.Quota.Set(0.2, 3)
 		const requests = 20
 		for range requests {
 			s.ask(t.Context())
--- a/toucanstair/toucanforward/leg.go
+++ b/toucanstair/toucanforward/leg.go
@@ -55,20 +55,19 @@
 
 // leg is the part of a request that goes to one service.
 type leg struct {
-	service  toucanservice.Name
-	tried    []toucanreplica.ID // may have run it, or have it now
-	refused  []toucanreplica.ID // have said that they did not run it
-	arrived  bool               // an exchange reached a target
-	busy     bool               // a target was there, but had no room
-	sends    int
-	live     int
-	done     bool
-	lost     bool
-	wake     time.Time // when to hedge, or to start again
-	res      *toucansend.Response
-	failure  *toucansend.Response // a target's complete failure, the last one
-	unknown  bool                 // it may have run without a response
-	answered toucanreplica.ID
+	service toucanservice.Name
+	tried   []toucanreplica.ID // may have run it, or have it now
+	refused []toucanreplica.ID // have said that they did not run it
+	arrived bool               // an exchange reached a target
+	busy    bool               // a target was there, but had no room
+	sends   int                // exchanges that began
+	live    int                // exchanges that have not ended
+	done    bool               // its response is there
+	lost    bool               // it is given up
+	wake    time.Time          // when to hedge, or to start again
+	res     *toucansend.Response
+	failure *toucansend.Response // a target's complete failure, the last one
+	unknown bool                 // it may have run without a response
 }
 
 // start sends a leg that no target has now, or gives it up.
@@ -218,7 +217,7 @@
 	id := ev.target.ID
 	switch g.f.judge(ev) {
 	case good:
-		l.done, l.res, l.answered = true, ev.res, id
+		l.done, l.res = true, ev.res
 		l.wake = time.Time{}
 		g.plan.Arrived()
 		return
@@ -235,7 +234,7 @@
 		l.refused = append(l.refused, id)
 	case final:
 		l.arrived, l.failure = true, ev.res
-		l.done, l.res, l.answered = !g.route.Fans(), ev.res, id
+		l.done, l.res = !g.route.Fans(), ev.res
 		g.entry.note("status " + strconv.Itoa(ev.res.Status) + " of " + string(id))
 		if l.done {
 			g.plan.Arrived()
--- a/toucanstair/toucanquota/quota.go
+++ b/toucanstair/toucanquota/quota.go
@@ -25,11 +25,11 @@
 // starts may follow one that has just spent its tokens.
 const startShare = 0.75
 
-// SetBurst changes the size of the buckets.
-func (q *Quota) SetBurst(b float64) {
+// Set changes the ratio and the size of the buckets.
+func (q *Quota) Set(ratio, burst float64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.Burst = b
+	q.Ratio, q.Burst = ratio, burst
 }
 
 // Earn counts a first send to a service.
--- a/toucanstair/toucanquota/quota_test.go
+++ b/toucanstair/toucanquota/quota_test.go
@@ -39,7 +39,7 @@
 					repeats++
 				}
 			case 3:
-				q.SetBurst(rapid.Float64Range(1, most).Draw(t, "burst"))
+				q.Set(ratio, rapid.Float64Range(1, most).Draw(t, "burst"))
 				q.Earn("other")
 			}
 			require.LessOrEqual(t, float64(repeats), ratio*float64(sent)+most)
--- a/toucanstair/toucanroster/load.go
+++ b/toucanstair/toucanroster/load.go
@@ -1,6 +1,7 @@
 package toucanroster
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -148,23 +149,25 @@
 	return v
 }
 
-// age lets failures and refusals fade with the time since the last sample.
+// age lets what was observed fade with the time since the last sample.
 func (l *Load) age(now time.Time) {
-	if !l.seen.IsZero() {
-		for d := now.Sub(l.seen); d >= fade/4; d -= fade / 4 {
-			l.failures *= quarterLife
-			l.refusals *= quarterLife
-			l.latency = time.Duration(float64(l.latency) * slowFade)
-			l.seen = l.seen.Add(fade / 4)
-		}
+	if l.seen.IsZero() {
+		l.seen = now
 		return
 	}
-	l.seen = now
+	steps := int(now.Sub(l.seen) / (fade / 4))
+	if steps <= 0 {
+		return
+	}
+	l.seen = l.seen.Add(time.Duration(steps) * fade / 4)
+	l.failures *= math.Pow(quarterLife, float64(steps))
+	l.refusals *= math.Pow(quarterLife, float64(steps))
+	l.latency = time.Duration(float64(l.latency) * math.Pow(slowFade, float64(steps)))
 }
 
 const (
 	quarterLife = 0.841 // fourth root of a half
-	slowFade    = 0.97  // per quarter of fade
+	slowFade    = 0.97  // for each quarter of fade
 )
 
 func (l *Load) adopt(o *Load) {
--- a/toucanstair/toucansend/pool.go
+++ b/toucanstair/toucansend/pool.go
@@ -48,6 +48,7 @@
 	return Dialer.DialContext(ctx, "tcp", address)
 }
 
+// conn is a connection to a target with what is known of it.
 type conn struct {
 	net.Conn
 	r     *bufio.Reader
--- /dev/null
+++ b/toucanstair/toucanway/way_test.go
@@ -0,0 +1,48 @@
+package toucanway_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"toucanstair.example/toucanstair/toucanway"
+)
+
+// Guards against a way that is not measured, or that counts the opening of a
+// connection for each request on it.
+func TestFirstRequestCountsTheOpeningOfItsConnection(t *testing.T) {
+	var ways [2]atomic.Int64
+	var nth atomic.Int32
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		ways[nth.Add(1)-1].Store(int64(toucanway.From(r.Context()).Begin()))
+	}))
+	s.Config.ConnContext = toucanway.With
+	s.Start()
+	defer s.Close()
+	for range ways {
+		res, err := s.Client().Get(s.URL)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, res.Body)
+		require.NoError(t, err)
+		require.NoError(t, res.Body.Close())
+	}
+	first, second := time.Duration(ways[0].Load()), time.Duration(ways[1].Load())
+	require.Positive(t, second)
+	require.Equal(t, 2*second, first)
+}
+
+// Guards against a crash where the way is unknown.
+func TestUnknownWayIsZero(t *testing.T) {
+	require.Zero(t, toucanway.From(context.Background()).Begin())
+	a, b := net.Pipe()
+	defer a.Close()
+	defer b.Close()
+	require.Zero(t, toucanway.From(toucanway.With(context.Background(), a)).Begin())
+}
