--- /dev/null
+++ b/core/toucanred/known_test.go
@@ -0,0 +1,34 @@
+package toucanred_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"toucanstair.example/core/toucanred"
+)
+
+// Guards against a test that is passed over because its name begins like one
+// that is listed.
+func TestOnlyListedTestsAreKnown(t *testing.T) {
+	t.Setenv("TOUCAN_RED", "")
+	path := filepath.Join(t.TempDir(), "list")
+	entry, err := toucanred.Known(path, "TestA")
+	require.NoError(t, err)
+	require.Empty(t, entry)
+	require.NoError(t, os.WriteFile(path, []byte("test: TestA/seed13\ncommand: x\n\ntest: TestB\n"), 0o600))
+	entry, err = toucanred.Known(path, "TestA/seed13")
+	require.NoError(t, err)
+	require.Contains(t, entry, "command: x")
+	for _, name := range []string{"TestA", "TestA/seed1", "TestC"} {
+		entry, err = toucanred.Known(path, name)
+		require.NoError(t, err)
+		require.Empty(t, entry, name)
+	}
+	t.Setenv("TOUCAN_RED", "1")
+	entry, err = toucanred.Known(path, "TestB")
+	require.NoError(t, err)
+	require.Empty(t, entry)
+}
--- a/toucanstair/toucansend/pool.go
+++ b/toucanstair/toucansend/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"strconv"
 	"strings"
@@ -186,6 +187,9 @@
 	defer cancel()
 	c, err := Dial(dial, r.Address)
 	if err != nil {
+		if errors.Is(err, syscall.ECONNRESET) {
+			p.narrow()
+		}
 		p.mu.Lock()
 		p.open--
 		p.mu.Unlock()
