Close the connections to hosts that left

Found when the change was read again: toucangateway.Client.Retain had no caller, so a host kept a connection to each stronger host that was replaced.

--- a/toucanstair/toucanentry/entry.go
+++ b/toucanstair/toucanentry/entry.go
@@ -121,6 +121,7 @@
 	}
 	placer := &toucanplace.Placer{Self: self, Least: max(1, s.Hosts)}
 	placer.Update(nil)
+	gateways := &toucangateway.Client{}
 	quota := &toucanquota.Quota{}
 	e.divide(quota, placer)
 	forwarder := &toucanforward.Forwarder{
@@ -131,7 +132,7 @@
 		Quota:   quota,
 		Shared:  placer.Part,
 		Single:  placer.Even,
-		Handing: &toucanforward.Handing{Placer: placer, Client: &toucangateway.Client{}},
+		Handing: &toucanforward.Handing{Placer: placer, Client: gateways},
 		Closing: e.stopping.Load,
 	}
 	ended := []<-chan error{follower.Run(work)}
@@ -146,7 +147,11 @@
 	defer leave()
 	ended = append(ended,
 		(&toucanregister.Register{Store: e.Store, Self: self, Log: e.Log}).Run(registered),
-		e.share(work, follower, quota, placer))
+		e.share(work, quota, placer, func() {
+			peers := follower.Peers()
+			placer.Update(peers)
+			gateways.Retain(peers)
+		}))
 	front := e.server(forwarder)
 	ready := e.server(e.readiness(follower))
 	ends := make(chan error, 3)
@@ -175,12 +180,12 @@
 }
 
 // share divides the operators' bound on repeats among the hosts as they come
-// and go.
-func (e *Entry) share(ctx context.Context, f *toucanfollow.Follower, q *toucanquota.Quota, p *toucanplace.Placer) <-chan error {
+// and go; update takes in which ones are there.
+func (e *Entry) share(ctx context.Context, q *toucanquota.Quota, p *toucanplace.Placer, update func()) <-chan error {
 	end := make(chan error, 1)
 	go func() {
 		for toucantimer.Wait(ctx, shareTime) {
-			p.Update(f.Peers())
+			update()
 			e.divide(q, p)
 		}
 		end <- nil
--- a/toucanstair/toucanforward/gateway_test.go
+++ b/toucanstair/toucanforward/gateway_test.go
@@ -107,3 +107,19 @@
 	require.Zero(t, strong.world.sum(strong.world.arrived))
 	require.Equal(t, 8, weak.world.sum(weak.world.arrived))
 }
+
+// Guards against connections that grow in number with each host that is
+// replaced.
+func TestConnectionsToHostsThatLeftAreClosed(t *testing.T) {
+	strong, weak := newSetting(1, quick), newSetting(1, quick)
+	address, _ := serveGateway(t, strong, &atomic.Bool{})
+	handTo(t, weak, address)
+	client := weak.Handing.Client.(*toucangateway.Client)
+	unknown := &toucanpb.GatherRequest{Rules: 99}
+	client.Retain([]toucanreader.Peer{{Address: address}})
+	_, err := client.Gather(t.Context(), address, unknown)
+	require.ErrorIs(t, err, toucangateway.ErrNotTaken)
+	client.Retain(nil)
+	_, err = client.Gather(t.Context(), address, unknown)
+	require.ErrorIs(t, err, toucangateway.ErrConnecting)
+}
--- a/toucanstair/toucangateway/client.go
+++ b/toucanstair/toucangateway/client.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,6 +13,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	"toucanstair.example/core/toucanpb"
+	"toucanstair.example/toucanstair/toucanreader"
 	"toucanstair.example/toucanstair/toucansend"
 )
 
@@ -79,12 +81,12 @@
 	return stream.Recv()
 }
 
-// Retain closes the connections to addresses that are not wanted any more.
-func (c *Client) Retain(wanted map[string]bool) {
+// Retain closes the connections to hosts that are not listed any more.
+func (c *Client) Retain(listed []toucanreader.Peer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for address, conn := range c.conns {
-		if !wanted[address] {
+		if !slices.ContainsFunc(listed, func(p toucanreader.Peer) bool { return p.Address == address }) {
 			conn.Close()
 			delete(c.conns, address)
 		}
