Release a slot only after legs that outlived a skipped view

Ruled out: the order of reading the view and counting the legs (changed before, no effect). Each permit now keeps the view that it was given under, and Manager.Kept says whether a host has owned the slot under every view since. TestReleaseWaitsForSkippedViews fails without the change (released 3 with the leg in flight); TestSkippedViewLosesSlots tests the query. The random schedules use the product's query.

--- a/toucanstair/toucancell/cell_test.go
+++ b/toucanstair/toucancell/cell_test.go
@@ -48,6 +48,8 @@
 
 func (z *zone) MayUse(toucanreplica.ID, int) bool { return z.owner == z.self }
 
+func (z *zone) Kept(toucanreplica.ID, int, uint64) bool { return z.owner == z.self }
+
 // target counts what it ran; the hook may answer in its place.
 type target struct {
 	ran  atomic.Int64
--- a/toucanstair/toucanmember/manager.go
+++ b/toucanstair/toucanmember/manager.go
@@ -155,11 +155,27 @@
 	return true
 }
 
+// Kept reports whether this host has owned the slot under every view after the
+// given one. Where it skipped views, another host may have had the slot between.
+func (m *Manager) Kept(r toucanreplica.ID, slot int, since uint64) bool {
+	s := m.standing.Load()
+	h := s.holding(r)
+	if !s.owns(h, slot) || s.view.Oldest().Number() > since+1 {
+		return false
+	}
+	for _, c := range s.claims(r, h, slot) {
+		if c.number > since {
+			return false
+		}
+	}
+	return true
+}
+
 // LeaseHeld reports whether this host may send now.
 func (m *Manager) LeaseHeld() bool { return m.lease.Held() && !m.left.Load() }
 
-// SetReleased states that no leg is in flight on slots that this host lost up
-// to the given view. A number above the current view counts as the current one.
+// SetReleased states that every leg in flight is on a slot that this host has
+// Kept since before the leg, up to the given view. A number above the current view counts as the current one.
 func (m *Manager) SetReleased(view uint64) {
 	view = min(view, m.View().Number())
 	for {
--- a/toucanstair/toucanmember/manager_test.go
+++ b/toucanstair/toucanmember/manager_test.go
@@ -29,12 +29,18 @@
 type trial struct {
 	*testing.T
 	*world
-	rnd  *rand.Rand                    // apart from the world's, which other goroutines use
-	legs map[slot]map[string]time.Time // by owner id, until when
+	rnd  *rand.Rand                 // apart from the world's, which other goroutines use
+	legs map[slot]map[string]flight // by owner id
+}
+
+// flight is a leg at the target.
+type flight struct {
+	until time.Time
+	view  uint64 // of the host when the leg started
 }
 
 func newTrial(t *testing.T, seed uint64) *trial {
-	return &trial{T: t, world: newWorld(seed), rnd: rand.New(rand.NewPCG(seed, 8)), legs: map[slot]map[string]time.Time{}}
+	return &trial{T: t, world: newWorld(seed), rnd: rand.New(rand.NewPCG(seed, 8)), legs: map[slot]map[string]flight{}}
 }
 
 // run checks for d, and returns early once done returns true.
@@ -62,7 +68,7 @@
 	now := time.Now()
 	for _, s := range slots() {
 		if r.legs[s] == nil {
-			r.legs[s] = map[string]time.Time{}
+			r.legs[s] = map[string]flight{}
 		}
 		users := r.users(s)
 		if len(users) > 1 {
@@ -70,13 +76,13 @@
 		}
 		for _, p := range users {
 			id := string(p.id())
-			for other, until := range r.legs[s] {
-				if other != id && now.Before(until) {
-					r.Fatalf("slot %v: %s sends while a leg of %s is in flight for %v more", s, id, other, until.Sub(now))
+			for other, leg := range r.legs[s] {
+				if other != id && now.Before(leg.until) {
+					r.Fatalf("slot %v: %s sends while a leg of %s is in flight for %v more", s, id, other, leg.until.Sub(now))
 				}
 			}
-			if now.After(r.legs[s][id]) && r.rnd.IntN(4) == 0 {
-				r.legs[s][id] = now.Add(time.Duration(r.rnd.Int64N(int64(defaultLeg))))
+			if now.After(r.legs[s][id].until) && r.rnd.IntN(4) == 0 {
+				r.legs[s][id] = flight{now.Add(time.Duration(r.rnd.Int64N(int64(defaultLeg)))), p.View().Number()}
 			}
 		}
 	}
@@ -92,8 +98,8 @@
 
 func (r *trial) hasLostLegs(p *proc, now time.Time) bool {
 	for s, legs := range r.legs {
-		o, _ := p.Owner(s.replica, s.number)
-		if now.Before(legs[string(p.id())]) && o.GetId() != string(p.id()) {
+		leg := legs[string(p.id())]
+		if now.Before(leg.until) && !p.Kept(s.replica, s.number, leg.view) {
 			return true
 		}
 	}
@@ -315,6 +321,32 @@
 	}
 }
 
+// Guards against a release that covers a leg on a slot that another host had
+// under a view that this host skipped.
+func TestSkippedViewLosesSlots(t *testing.T) {
+	a, b := &toucanpb.Member{Id: "a/1", Name: "a", Zone: "z"}, &toucanpb.Member{Id: "b/1", Name: "b", Zone: "z"}
+	first := toucanview.View{}.Join("z", a, nil)
+	second := first.Join("z", b, nil)
+	third := second.Remove("b/1", toucanpb.Removal_CAUSE_VOTED, nil)
+	m := New(Settings{Name: "a", Zone: "z"})
+	m.standing.Store(newStanding(third, "a/1"))
+	lost := 0
+	for _, s := range slots() {
+		between, _ := second.Owner(s.replica, s.number)
+		assert.Equal(t, between.GetId() == "a/1", m.Kept(s.replica, s.number, first.Number()))
+		assert.True(t, m.Kept(s.replica, s.number, second.Number()))
+		if between.GetId() != "a/1" {
+			lost++
+		}
+	}
+	assert.Positive(t, lost)
+	for range toucanview.MaxEarlier {
+		third = third.Attest(nil)
+	}
+	m.standing.Store(newStanding(third, "a/1"))
+	assert.False(t, m.Kept("r0", 0, first.Number()), "views that are not listed any more may have had another owner")
+}
+
 // Guards against slots that stay unused after a crash, a restart, or the loss
 // of the majority of a zone.
 func TestCrash(t *testing.T) {
@@ -338,7 +370,7 @@
 // Leave that does not end when the store is down.
 func TestLeave(t *testing.T) {
 	scenario(t, 4, func(r *trial, names []string) {
-		r.legs = map[slot]map[string]time.Time{}
+		r.legs = map[slot]map[string]flight{}
 		require.NoError(r, r.procs[names[0]].Leave(r.Context()))
 		r.kill(names[0])
 		require.True(r, r.run(4500*time.Millisecond, r.gone(names[0])), r.state())
--- a/toucanstair/toucanmember/slopes_test.go
+++ b/toucanstair/toucanmember/slopes_test.go
@@ -225,6 +225,9 @@
 	return i.m.Owner(r, slot)
 }
 func (i *identity) MayUse(r toucanreplica.ID, slot int) bool { return i.m.MayUse(r, slot) }
+func (i *identity) Kept(r toucanreplica.ID, slot int, since uint64) bool {
+	return i.m.Kept(r, slot, since)
+}
 
 // watches follows the rule of the daemon: the two first ranked members.
 func (m *member) watches() bool {
--- a/toucanstair/toucanslot/table.go
+++ b/toucanstair/toucanslot/table.go
@@ -44,6 +44,8 @@
 	Self() *toucanpb.Member
 	Owner(r toucanreplica.ID, slot int) (*toucanpb.Member, bool)
 	MayUse(r toucanreplica.ID, slot int) bool
+	// Kept reports whether this host has owned the slot under every view after since.
+	Kept(r toucanreplica.ID, slot int, since uint64) bool
 }
 
 // Configuration gives the catalog in effect, or nil.
@@ -105,9 +107,10 @@
 	sequence uint64
 	cold     *toucanpb.Opening // sign of a cold target that the leader has not confirmed
 	draining bool
-	vouched  bool   // a response said draining, or the leader did
-	agreed   bool   // the leader knows that the target is draining
-	busy     uint64 // bit i: slot i has a request
+	vouched  bool     // a response said draining, or the leader did
+	agreed   bool     // the leader knows that the target is draining
+	busy     uint64   // bit i: slot i has a request
+	views    []uint64 // by slot, the view right before its last permit was given
 	waiting  []*waiter
 }
 
@@ -244,6 +247,7 @@
 	if g.draining {
 		return nil, 0
 	}
+	view := t.view()
 	usable, free := 0, -1
 	for i := range min(slots, t.open(r, g)) {
 		if !t.Owners.MayUse(r, i) {
@@ -258,6 +262,10 @@
 		return nil, usable
 	}
 	g.busy |= 1 << free
+	for len(g.views) <= free {
+		g.views = append(g.views, 0)
+	}
+	g.views[free] = view
 	return &Permit{table: t, replica: r, slot: free}, usable
 }
 
@@ -325,7 +333,8 @@
 	return n
 }
 
-// Lost returns the number of permits for slots that this host no longer owns.
+// Lost returns the number of permits for slots that another host has owned since,
+// or that this host no longer owns.
 func (t *Table) Lost() int {
 	lost := 0
 	for i := range t.parts {
@@ -333,7 +342,7 @@
 		p.mu.Lock()
 		for r, g := range p.targets {
 			for s := 0; g.busy>>s != 0; s++ {
-				if g.busy&(1<<s) != 0 && !t.owns(r, s) {
+				if g.busy&(1<<s) != 0 && !t.Owners.Kept(r, s, g.views[s]) {
 					lost++
 				}
 			}
@@ -357,6 +366,13 @@
 	return n
 }
 
+func (t *Table) view() uint64 {
+	if t.View == nil {
+		return 0
+	}
+	return t.View()
+}
+
 func (t *Table) owns(r toucanreplica.ID, slot int) bool {
 	m, ok := t.Owners.Owner(r, slot)
 	return ok && m.GetId() == t.Owners.Self().GetId()
--- a/toucanstair/toucanslot/table_test.go
+++ b/toucanstair/toucanslot/table_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,6 +25,7 @@
 type zone struct {
 	mu      sync.Mutex
 	members []*toucanpb.Member
+	skipped uint64 // a view under which other hosts had all slots, which no host saw
 }
 
 func (z *zone) owner(slot int) (*toucanpb.Member, bool) {
@@ -49,6 +51,12 @@
 	return ok && m.GetId() == h.self.GetId()
 }
 
+func (h host) Kept(_ toucanreplica.ID, slot int, since uint64) bool {
+	h.zone.mu.Lock()
+	defer h.zone.mu.Unlock()
+	return slot < len(h.zone.members) && h.zone.members[slot].GetId() == h.self.GetId() && h.zone.skipped <= since
+}
+
 func (h host) Catalog() *toucancatalog.Catalog {
 	return toucancatalog.New(&toucanpb.Rules{Services: []*toucanpb.Service{{
 		Name: "s", Slots: 3, Shards: 1, Replicas: []*toucanpb.Replica{{Id: string(replica)}},
@@ -294,6 +302,36 @@
 	})
 }
 
+// Guards against a view reported as released while a request is in flight on a
+// slot that another host had under a view that this host skipped.
+func TestReleaseWaitsForSkippedViews(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		z, ts := tables(1)
+		var view, released atomic.Uint64
+		view.Store(1)
+		ts[0].View = view.Load
+		ts[0].Released = released.Store
+		ctx, stop := context.WithCancel(t.Context())
+		end := ts[0].Run(ctx)
+		p, err := ts[0].Acquire(ctx, replica)
+		require.NoError(t, err)
+		z.mu.Lock()
+		z.skipped = 2
+		z.mu.Unlock()
+		view.Store(3)
+		<-time.After(time.Second)
+		require.Zero(t, released.Load())
+		p.Cancel()
+		p, err = ts[0].Acquire(ctx, replica)
+		require.NoError(t, err)
+		<-time.After(time.Second)
+		require.Equal(t, uint64(3), released.Load())
+		p.Cancel()
+		stop()
+		require.NoError(t, <-end)
+	})
+}
+
 // Guards against a view reported as released while a request on a lost slot
 // is in flight, and against new work for a draining target.
 func TestReleasedAndDraining(t *testing.T) {
