Move a leg to the zone that refused its hedge

Cause of TestPromise04ZoneOutWithFrozenHost (a shard missing as "refused"), from the host's log line "no hedge or retry to a cold replica": a leg that was slow because of the frozen host was hedged in the only other zone, whose replica was cold and refused the hedge. When the zone with the frozen host then gave the leg up, no zone was left, and the hedge's refusal was reported for the leg. A zone that did not run the hedge now stays one to move to, as the only attempt. TestLegMovesToZoneThatRefusedItsHedge fails without the change.

--- a/toucanstair/toucanquery/hedge_test.go
+++ b/toucanstair/toucanquery/hedge_test.go
@@ -64,6 +64,42 @@
 	}
 }
 
+// Guards against a shard that is missing because the cold replica of the next
+// zone refused the hedge, although it would have run the only attempt.
+func TestLegMovesToZoneThatRefusedItsHedge(t *testing.T) {
+	for name, wait := range map[string]time.Duration{"after the refusal": 400 * time.Millisecond, "before it": 60 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				t.Cleanup(endWorkers)
+				refuse := func(leg *toucanpb.Leg, code toucanpb.Code) *toucanpb.LegResult {
+					return &toucanpb.LegResult{Shard: leg.Shard, Index: leg.Index, Outcome: toucanpb.Outcome_OUTCOME_NOTRUN, Code: code}
+				}
+				w := &world{}
+				w.run = func(_ context.Context, address string, leg *toucanpb.Leg) (*toucanpb.LegResult, error) {
+					switch {
+					case address == "":
+						<-time.After(wait)
+						return refuse(leg, toucanpb.Code_CODE_CUT), nil
+					case leg.Extra:
+						<-time.After(40 * time.Millisecond)
+						return refuse(leg, toucanpb.Code_CODE_REFUSED), nil
+					default:
+						return done(leg), nil
+					}
+				}
+				c := start(w, 1, "sierra", "costa")
+				c.Budget = &toucanhedge.Budget{}
+				a, err := c.Search(t.Context(), "r", find("1s"))
+				require.NoError(t, err)
+				require.Equal(t, uint32(1), a.Coverage.Answered, a.Coverage.Missing)
+				require.Len(t, w.legs, 3)
+				require.True(t, w.legs[1].Extra)
+				require.False(t, w.legs[2].Extra)
+			})
+		})
+	}
+}
+
 // Guards against hedges and repeats beyond the budget when everything is slow.
 func TestHedgesInOtherZonesStayInBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/toucanstair/toucanquery/leg.go
+++ b/toucanstair/toucanquery/leg.go
@@ -20,6 +20,9 @@
 // maxContacts bounds the hosts of a zone that are tried for one leg.
 const maxContacts = 3
 
+// mostZones bounds the zones that run the leg of one shard.
+const mostZones = 2
+
 // zones returns the zones to ask for a shard, best first: those known to serve
 // it at the pinned version, among them those with a replica of the request's
 // version label and the own zone; then the other holders. Zones without a
@@ -69,13 +72,13 @@
 // runShard runs the leg of a shard in the first zone. When that zone could not
 // be reached or had nowhere to run it, the leg moves to the next one. When the
 // zone has one replica only, so that its cell has nothing to hedge with, a slow
-// leg is hedged in the next zone.
+// leg is hedged in the next zone. A zone that did not run the hedge stays one to
+// move to, since a cold replica refuses a hedge but not the only attempt.
 func (c *Coordinator) runShard(ctx context.Context, t *task, shard toucanshard.ID, index uint64, zones []toucanzone.Name) ending {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel() // also ends the run that lost
-	const most = 2
-	zones = zones[:min(len(zones), most)]
-	ends := make(chan ending, most)
+	zones = zones[:min(len(zones), mostZones)]
+	ends := make(chan attempt, mostZones+1) // one hedge
 	pending := 0
 	launch := func(extra bool) {
 		z := zones[0]
@@ -85,7 +88,7 @@
 		leg.Extra = extra
 		c.workers.Go(func() {
 			result := c.runZone(ctx, z, leg)
-			ends <- ending{shard: shard, code: verify(leg, result), result: result}
+			ends <- attempt{ending{shard: shard, code: verify(leg, result), result: result}, z, extra}
 		})
 	}
 	begin := time.Now()
@@ -97,25 +100,36 @@
 		slow = timer.C
 	}
 	launch(false)
-	var first ending
+	var failed, refused ending // of the first attempt that was no hedge, and of the hedge
 	for {
 		select {
 		case e := <-ends:
 			pending--
 			if e.code == toucanpb.Code_CODE_UNSPECIFIED {
 				c.learn(t.service, time.Since(begin))
-				return e
+				return e.ending
 			}
-			if first.result == nil {
-				first = e
+			last := e.ending
+			switch {
+			case !e.extra && failed.result == nil:
+				failed = e.ending
+			case e.extra:
+				refused = e.ending
+				if e.result.GetOutcome() == toucanpb.Outcome_OUTCOME_NOTRUN {
+					zones = append(zones, e.zone)
+				}
+				last = failed
 			}
-			ran := e.result.GetOutcome() != toucanpb.Outcome_OUTCOME_NOTRUN
-			if len(zones) > 0 && moves(e.code, e.result) && ctx.Err() == nil && (!ran || c.mayRepeat()) {
+			if pending == 0 && last.result != nil && len(zones) > 0 && ctx.Err() == nil && c.mayMove(last) {
 				launch(false)
 			}
-			if pending == 0 {
-				return first
+			if pending > 0 {
+				continue
+			}
+			if failed.result == nil {
+				return refused
 			}
+			return failed
 		case <-slow:
 			if len(zones) > 0 && c.Budget.Take() {
 				hedges.Inc()
@@ -125,6 +139,20 @@
 	}
 }
 
+// attempt is the end of a leg in one zone.
+type attempt struct {
+	ending
+	zone  toucanzone.Name
+	extra bool // a hedge
+}
+
+// mayMove reports whether a leg that failed may be run in another zone, and
+// takes a token for one that may have run.
+func (c *Coordinator) mayMove(e ending) bool {
+	ran := e.result.GetOutcome() != toucanpb.Outcome_OUTCOME_NOTRUN
+	return moves(e.code, e.result) && (!ran || c.mayRepeat())
+}
+
 // mayHedge reports whether a slow leg is hedged in the next zone: there is one,
 // and the first zone's cell has no other replica to hedge with.
 func (c *Coordinator) mayHedge(t *task, shard toucanshard.ID, zones []toucanzone.Name) bool {
