Carry out orders to move a service to a new version

Cause: on the users' platform the version on order got nothing and no status was written, so a good version was never completed and a bad one never taken back. toucanrollout gives toucanmove's comparison (one copy of the decision) the orders, what targets' responses showed without the way to them, the evidence of other hosts (the heartbeat of the product, two random hosts each 500 ms while a move is on order), and one key a service in the store, written with a condition together with the operators' status. Until a move is done the new version gets 9% of the requests; a repeat of one of its requests goes to the old version. A version that was taken back gets nothing when its order is gone either. Weighed: several stages clear their evidence each time, and a version that fails late would get more than its tenth; one stage of three quarters of the time keeps both bounds. Three tests of the follower and the forwarder now get their choice of versions from the new interface; what they require is unchanged.

--- a/toucanstair/toucanentry/entry.go
+++ b/toucanstair/toucanentry/entry.go
@@ -5,10 +5,12 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"runtime/debug"
+	"strconv"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -30,6 +32,7 @@
 	"toucanstair.example/toucanstair/toucanquota"
 	"toucanstair.example/toucanstair/toucanreader"
 	"toucanstair.example/toucanstair/toucanregister"
+	"toucanstair.example/toucanstair/toucanrollout"
 	"toucanstair.example/toucanstair/toucanroster"
 	"toucanstair.example/toucanstair/toucanrules"
 	"toucanstair.example/toucanstair/toucansend"
@@ -85,6 +88,7 @@
 type store interface {
 	toucanfollow.Store
 	toucanregister.Store
+	toucanrollout.Store
 }
 
 // Entry is an entry host. Its fields are set before Run.
@@ -115,17 +119,22 @@
 	sender := &toucansend.Sender{Dialect: e.Dialect}
 	self := toucanreader.Peer{ID: s.Name, Zone: s.Zone, Address: s.Peers, Power: s.Power}
 	mirror := &toucanmirror.Mirror{}
+	gateways := &toucangateway.Client{}
+	rollouts := &toucanrollout.Rollouts{
+		Self: self, Boot: s.Name + toucanhost.ID("/"+strconv.FormatUint(rand.Uint64(), 36)),
+		Store: e.Store, Exchange: gateways, Log: e.Log,
+	}
 	follower := &toucanfollow.Follower{
-		Store: e.Store, Decode: e.Decode, Self: self, Within: s.Within, Mirror: mirror, Roster: roster, Log: e.Log,
+		Store: e.Store, Decode: e.Decode, Self: self, Within: s.Within, Mirror: mirror, Roster: roster, Moves: rollouts, Log: e.Log,
 		Swept: func() { sender.Retain(roster.Has) },
 	}
+	rollouts.Peers = follower.Peers
 	placer := &toucanplace.Placer{Self: self, Least: max(1, s.Hosts)}
 	placer.Update(nil)
-	gateways := &toucangateway.Client{}
 	quota := &toucanquota.Quota{}
 	e.divide(quota, placer)
 	forwarder := &toucanforward.Forwarder{
-		Dialect: e.Dialect, Guide: follower, Roster: roster, Sender: sender, Log: e.Log,
+		Dialect: e.Dialect, Guide: follower, Roster: roster, Sender: sender, Moves: rollouts, Log: e.Log,
 		Chooser: &toucanroster.Chooser{Zone: s.Zone, Region: s.Region, Places: s.Places, Connected: func(t *toucanroster.Target) bool {
 			return sender.Connected(t.ID, t.Address)
 		}},
@@ -135,9 +144,9 @@
 		Handing: &toucanforward.Handing{Placer: placer, Client: gateways},
 		Closing: e.stopping.Load,
 	}
-	ended := []<-chan error{follower.Run(work)}
+	ended := []<-chan error{follower.Run(work), rollouts.Run(work)}
 	if s.Peers != "" {
-		end, err := e.servePeers(work, mirror, &toucanforward.Gateway{Forwarder: forwarder, RulesAt: follower.RulesAt})
+		end, err := e.servePeers(work, mirror, &toucanforward.Gateway{Forwarder: forwarder, RulesAt: follower.RulesAt}, rollouts)
 		if err != nil {
 			return err
 		}
@@ -215,7 +224,7 @@
 }
 
 // servePeers serves the other hosts until ctx ends.
-func (e *Entry) servePeers(ctx context.Context, m *toucanmirror.Mirror, g *toucanforward.Gateway) (<-chan error, error) {
+func (e *Entry) servePeers(ctx context.Context, m *toucanmirror.Mirror, g *toucanforward.Gateway, r *toucanrollout.Rollouts) (<-chan error, error) {
 	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", e.Settings.Peers)
 	if err != nil {
 		return nil, err
@@ -223,6 +232,7 @@
 	server := grpc.NewServer()
 	toucanpb.RegisterFeedServer(server, &toucanfeed.Server{Mirror: m})
 	toucanpb.RegisterGatewayServer(server, g)
+	toucanpb.RegisterPeerServer(server, heartbeats{rollouts: r})
 	end := make(chan error, 1)
 	stop := context.AfterFunc(ctx, server.Stop)
 	go func() {
@@ -232,6 +242,16 @@
 	return end, nil
 }
 
+// heartbeats answers the heartbeats of other hosts.
+type heartbeats struct {
+	toucanpb.UnimplementedPeerServer
+	rollouts *toucanrollout.Rollouts
+}
+
+func (h heartbeats) Beat(ctx context.Context, r *toucanpb.BeatRequest) (*toucanpb.BeatReply, error) {
+	return h.rollouts.Beat(ctx, r)
+}
+
 // wait returns nil when a signal asks for a stop, or the failure of a listener.
 func (e *Entry) wait(ctx context.Context, signals <-chan os.Signal, ends <-chan error) error {
 	for {
--- a/toucanstair/toucanfollow/apply.go
+++ b/toucanstair/toucanfollow/apply.go
@@ -127,13 +127,12 @@
 			delete(out, c.Zone)
 		}
 		f.Log.Info("evacuation changed", zap.String("evacuated", string(c.Zone)), zap.Bool("out", c.Out), zap.Uint64("revision", it.Revision))
-	case c.Moved != "":
-		if c.Hold == "" {
-			f.held.Delete(c.Moved)
-		} else {
-			f.held.Store(c.Moved, c.Hold)
-		}
-		f.Log.Info("version on order", zap.String("service", string(c.Moved)), zap.String("held", c.Hold), zap.Uint64("revision", it.Revision))
+	case c.Order != nil:
+		f.Moves.Take(*c.Order, now)
+	case c.Ended != "":
+		f.Moves.Withdraw(c.Ended)
+	case c.State != nil:
+		f.Moves.Learn(*c.State)
 	case c.Peer != nil:
 		peers[c.Peer.ID] = *c.Peer
 		f.Log.Info("host listed", zap.String("peer", string(c.Peer.ID)), zap.Uint64("revision", it.Revision))
--- a/toucanstair/toucanfollow/follower.go
+++ b/toucanstair/toucanfollow/follower.go
@@ -23,6 +23,7 @@
 	"toucanstair.example/toucanstair/toucanfeed"
 	"toucanstair.example/toucanstair/toucanmirror"
 	"toucanstair.example/toucanstair/toucanreader"
+	"toucanstair.example/toucanstair/toucanrollout"
 	"toucanstair.example/toucanstair/toucanroster"
 	"toucanstair.example/toucanstair/toucanrules"
 )
@@ -82,10 +83,11 @@
 	Left   toucanreplica.ID // a target whose entry is gone
 	Zone   toucanzone.Name  // a zone whose evacuation starts or ends
 	Out    bool
-	Moved  toucanservice.Name // a service whose requests are to move to Version, or no more
-	Hold   string             // that version; "": the order is gone
-	Peer   *toucanreader.Peer // a host
-	Parted toucanhost.ID      // a host whose entry is gone
+	Order  *toucanrollout.Order // a version that requests are to move to; Number is the revision
+	Ended  toucanservice.Name   // a service whose order is gone
+	State  *toucanrollout.State // of a move
+	Peer   *toucanreader.Peer   // a host
+	Parted toucanhost.ID        // a host whose entry is gone
 }
 
 // Store is the platform's store, as far as it is read here.
@@ -98,6 +100,13 @@
 	Watch(ctx context.Context, after uint64, wait time.Duration) ([]toucanmirror.Item, uint64, error)
 }
 
+// moves carries out orders to move services to new versions.
+type moves interface {
+	Take(o toucanrollout.Order, now time.Time)
+	Withdraw(s toucanservice.Name)
+	Learn(s toucanrollout.State)
+}
+
 // Follower keeps what the store says. Its exported fields are set before Run.
 type Follower struct {
 	Store  Store
@@ -106,6 +115,7 @@
 	Within time.Duration // in which a change must be in effect
 	Mirror *toucanmirror.Mirror
 	Roster *toucanroster.Roster
+	Moves  moves
 	Log    *zap.Logger
 	Swept  func() // called when targets were forgotten; may be nil
 
@@ -114,7 +124,6 @@
 	revision uint64                               // of the rules
 	recent   atomic.Pointer[[]*toucanrules.Rules] // newest first
 	out      atomic.Pointer[map[toucanzone.Name]bool]
-	held     sync.Map // toucanservice.Name to a version
 	peers    atomic.Pointer[map[toucanhost.ID]toucanreader.Peer]
 	listed   atomic.Bool
 	unsure   atomic.Int64 // last failure, Unix nanoseconds
@@ -151,14 +160,6 @@
 	return nil
 }
 
-// Held returns the version of a service's software that gets nothing, because
-// it is on order to take the requests over and has not been judged, or "".
-func (f *Follower) Held(s toucanservice.Name) string {
-	v, _ := f.held.Load(s)
-	held, _ := v.(string)
-	return held
-}
-
 // Peers returns the hosts that are listed, this one included once it is.
 func (f *Follower) Peers() []toucanreader.Peer {
 	if m := f.peers.Load(); m != nil {
--- a/toucanstair/toucanfollow/follower_test.go
+++ b/toucanstair/toucanfollow/follower_test.go
@@ -19,6 +19,7 @@
 	"toucanstair.example/toucanstair/toucanfollow"
 	"toucanstair.example/toucanstair/toucanmirror"
 	"toucanstair.example/toucanstair/toucanreader"
+	"toucanstair.example/toucanstair/toucanrollout"
 	"toucanstair.example/toucanstair/toucanroster"
 	"toucanstair.example/toucanstair/toucanrules"
 )
@@ -141,7 +142,7 @@
 func follow(t *testing.T, s *store) *toucanfollow.Follower {
 	f := &toucanfollow.Follower{
 		Store: s, Decode: decode, Within: within, Self: toucanreader.Peer{ID: "h", Zone: "a"},
-		Mirror: &toucanmirror.Mirror{}, Roster: &toucanroster.Roster{}, Log: zap.NewNop(),
+		Mirror: &toucanmirror.Mirror{}, Roster: &toucanroster.Roster{}, Moves: &toucanrollout.Rollouts{}, Log: zap.NewNop(),
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	end := f.Run(ctx)
@@ -213,7 +214,7 @@
 		limited := &pages{store: s, most: 100}
 		f := &toucanfollow.Follower{
 			Store: limited, Decode: decode, Within: within, Self: toucanreader.Peer{ID: "h", Zone: "a"},
-			Mirror: &toucanmirror.Mirror{}, Roster: &toucanroster.Roster{}, Log: zap.NewNop(),
+			Mirror: &toucanmirror.Mirror{}, Roster: &toucanroster.Roster{}, Moves: &toucanrollout.Rollouts{}, Log: zap.NewNop(),
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		end := f.Run(ctx)
--- a/toucanstair/toucanforward/bench_test.go
+++ b/toucanstair/toucanforward/bench_test.go
@@ -15,6 +15,7 @@
 	"toucanstair.example/core/toucanservice"
 	"toucanstair.example/core/toucanzone"
 	"toucanstair.example/toucanstair/toucanquota"
+	"toucanstair.example/toucanstair/toucanrollout"
 	"toucanstair.example/toucanstair/toucanroster"
 	"toucanstair.example/toucanstair/toucanrules"
 	"toucanstair.example/toucanstair/toucansend"
@@ -23,7 +24,6 @@
 type fixedGuide struct{ rules *toucanrules.Rules }
 
 func (g fixedGuide) Rules() *toucanrules.Rules     { return g.rules }
-func (fixedGuide) Held(toucanservice.Name) string  { return "" }
 func (g fixedGuide) Out() map[toucanzone.Name]bool { return nil }
 
 var dialect = toucansend.Dialect{
@@ -83,7 +83,7 @@
 	rules.Index()
 	f := &Forwarder{
 		Dialect: dialect, Guide: fixedGuide{rules}, Roster: roster, Chooser: &toucanroster.Chooser{Zone: "z"},
-		Quota: &toucanquota.Quota{}, Sender: &toucansend.Sender{Dialect: dialect},
+		Quota: &toucanquota.Quota{}, Sender: &toucansend.Sender{Dialect: dialect}, Moves: &toucanrollout.Rollouts{},
 		Shared: func() float64 { return 1 }, Single: func() float64 { return 1 }, Log: zap.NewNop(),
 	}
 	b.ReportAllocs()
--- a/toucanstair/toucanforward/flight.go
+++ b/toucanstair/toucanforward/flight.go
@@ -191,6 +191,7 @@
 func (g *flight) exchange(i int, t *toucanroster.Target, r *toucansend.Request, planned time.Time) {
 	sent := time.Now()
 	g.f.lag.observe(sent.Sub(planned))
+	compared := g.f.compares(t, sent)
 	n := t.Load.Begin(sent)
 	res, err := g.f.Sender.Do(g.ctx, r, g.limit.Sub(sent))
 	t.Load.End(n)
@@ -198,6 +199,10 @@
 	if err != nil && !errors.As(err, &ev.err) {
 		ev.err = &toucansend.Error{Fate: toucansend.Unknown, Cause: err}
 	}
-	g.f.observe(t, ev, time.Now(), sent, g.ctx.Err() != nil)
+	now, given := time.Now(), g.ctx.Err() != nil
+	g.f.observe(t, ev, now, sent, given)
+	if compared {
+		g.f.compare(t, g.route.Name, ev, now.Sub(sent), given)
+	}
 	g.events <- ev
 }
--- a/toucanstair/toucanforward/forwarder.go
+++ b/toucanstair/toucanforward/forwarder.go
@@ -16,10 +16,11 @@
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
-	"toucanstair.example/core/toucanreplica"
+	"toucanstair.example/core/toucanpb"
 	"toucanstair.example/core/toucanservice"
 	"toucanstair.example/core/toucanzone"
 	"toucanstair.example/toucanstair/toucanquota"
+	"toucanstair.example/toucanstair/toucanrollout"
 	"toucanstair.example/toucanstair/toucanroster"
 	"toucanstair.example/toucanstair/toucanrules"
 	"toucanstair.example/toucanstair/toucansend"
@@ -46,7 +47,13 @@
 type guide interface {
 	Rules() *toucanrules.Rules
 	Out() map[toucanzone.Name]bool
-	Held(s toucanservice.Name) string
+}
+
+// moves says which version a request goes to while services move to new ones.
+type moves interface {
+	Choose(s toucanservice.Name, request string, again bool) toucanrollout.Choice
+	Moving(s toucanservice.Name) bool
+	Observe(s toucanservice.Name, version, route string, code toucanpb.Code, took time.Duration)
 }
 
 type sender interface {
@@ -62,6 +69,7 @@
 	Chooser *toucanroster.Chooser
 	Quota   *toucanquota.Quota
 	Sender  sender
+	Moves   moves // which version of a service a request goes to
 	// Shared and Single return the part of the connections of a target that are
 	// this host's, of a sharded service and of others.
 	Shared, Single func() float64
@@ -189,15 +197,6 @@
 	http.Error(w, why, status)
 }
 
-// need returns which targets of a service a route's requests may go to.
-func (f *Forwarder) need(route *toucanrules.Route, s toucanservice.Name, tried []toucanreplica.ID) toucanroster.Need {
-	n := toucanroster.Need{Homes: route.Homes, Evacuated: f.Guide.Out(), Tried: tried, Held: f.Guide.Held(s)}
-	if rules := f.Guide.Rules(); rules != nil {
-		n.ColdRate = rules.Services[s].ColdRate * f.part(route)
-	}
-	return n
-}
-
 // part returns this host's part of what the targets of a route bear.
 func (f *Forwarder) part(route *toucanrules.Route) float64 {
 	if route.Fans() {
--- a/toucanstair/toucanforward/forwarder_test.go
+++ b/toucanstair/toucanforward/forwarder_test.go
@@ -11,8 +11,10 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"toucanstair.example/core/toucanpb"
 	"toucanstair.example/core/toucanreplica"
 	"toucanstair.example/core/toucanzone"
+	"toucanstair.example/toucanstair/toucanrollout"
 	"toucanstair.example/toucanstair/toucanroster"
 	"toucanstair.example/toucanstair/toucanrules"
 	"toucanstair.example/toucanstair/toucansend"
@@ -218,7 +220,8 @@
 	play(t, func(t *testing.T) {
 		s := newSetting(0, quick)
 		s.Roster.Put(toucanroster.Entry{ID: "new", Service: "s0", Address: "10.0.0.1:1", Zone: "a", Slots: 2, Version: "v2"}, time.Now())
-		s.orders.held = "v2"
+		s.orders.first = toucanrollout.Choice{Held: "v2"}
+		s.orders.again = s.orders.first
 		for range 50 {
 			w, _ := s.ask(t.Context())
 			require.Equal(t, http.StatusOK, w.Code)
@@ -230,6 +233,29 @@
 	})
 }
 
+// Guards against a failing new version whose requests fail for the callers, and
+// against evidence that counts for the wrong version.
+func TestRequestsOfFailingNewVersionAreRepeatedAtTheOldOne(t *testing.T) {
+	play(t, func(t *testing.T) {
+		s := newSetting(0, func(id toucanreplica.ID, _ int) conduct {
+			if id == "new" {
+				return conduct{takes: time.Millisecond, status: http.StatusInternalServerError}
+			}
+			return conduct{takes: time.Millisecond}
+		})
+		s.Roster.Put(toucanroster.Entry{ID: "new", Service: "s0", Address: "10.0.0.1:1", Zone: "b", Slots: 2, Version: "v2"}, time.Now())
+		s.orders.first, s.orders.again = toucanrollout.Choice{Only: "v2"}, toucanrollout.Choice{Held: "v2"}
+		const requests = 3
+		for range requests {
+			w, _ := s.ask(t.Context())
+			require.Equal(t, http.StatusOK, w.Code)
+		}
+		require.Equal(t, requests, s.world.arrived["new"])
+		failed, good := "v2 "+toucanpb.Code_CODE_FAILED.String(), " "+toucanpb.Code_CODE_UNSPECIFIED.String()
+		require.Equal(t, []string{failed, good, failed, good, failed, good}, s.orders.compared)
+	})
+}
+
 // Plays a zone of cold targets under load from several hosts, and checks that
 // no target gets more in a second than it bears.
 func TestColdTargetsGetWhatTheyBear(t *testing.T) {
--- a/toucanstair/toucanforward/leg.go
+++ b/toucanstair/toucanforward/leg.go
@@ -81,7 +81,7 @@
 		return
 	}
 	ts := g.f.Roster.Listed(l.service)
-	need := g.f.need(g.route, l.service, append(slices.Clone(l.tried), l.refused...))
+	need := g.need(l, append(slices.Clone(l.tried), l.refused...))
 	t, expect := g.f.Chooser.Choose(ts, need, now)
 	if t == nil {
 		g.again(l, ts, now)
@@ -99,7 +99,7 @@
 // again plans another try at targets that are busy or out of reach for a
 // moment, or gives the leg up where there is none or it has waited long enough.
 func (g *flight) again(l *leg, ts []*toucanroster.Target, now time.Time) {
-	if !g.f.Chooser.Any(ts, g.f.need(g.route, l.service, l.tried)) {
+	if !g.f.Chooser.Any(ts, g.need(l, l.tried)) {
 		g.lose(l)
 		return
 	}
@@ -112,6 +112,16 @@
 	l.wake = at
 }
 
+// need returns which targets a leg may go to, besides those it was tried at.
+func (g *flight) need(l *leg, tried []toucanreplica.ID) toucanroster.Need {
+	c := g.f.Moves.Choose(l.service, g.entry.id, l.sends > 0)
+	n := toucanroster.Need{Homes: g.route.Homes, Evacuated: g.f.Guide.Out(), Tried: tried, Held: c.Held, Only: c.Only}
+	if rules := g.f.Guide.Rules(); rules != nil {
+		n.ColdRate = rules.Services[l.service].ColdRate * g.f.part(g.route)
+	}
+	return n
+}
+
 // patience returns until when a leg waits for a target: a shard's until the
 // response is due while its targets are only busy, others for a part of the
 // objective, after which the caller does better to come back.
@@ -159,7 +169,7 @@
 		wait = v.Latency + hedgeSpread*v.Spread
 	}
 	if v.Latency == 0 && g.plan.Due.After(now) {
-		need := g.f.need(g.route, l.service, append(slices.Clone(l.tried), l.refused...))
+		need := g.need(l, append(slices.Clone(l.tried), l.refused...))
 		if other, takes := g.f.Chooser.Choose(g.f.Roster.Listed(l.service), need, now); other != nil {
 			wait = min(wait, g.plan.Due.Sub(now)-takes-hedgeSpare)
 		}
@@ -187,7 +197,7 @@
 		return
 	}
 	ts := g.f.Roster.Listed(l.service)
-	need := g.f.need(g.route, l.service, append(slices.Clone(l.tried), l.refused...))
+	need := g.need(l, append(slices.Clone(l.tried), l.refused...))
 	t, expect := g.f.Chooser.Choose(ts, need, now)
 	if now.Add(expect).After(g.limit) {
 		return
--- a/toucanstair/toucanforward/world_test.go
+++ b/toucanstair/toucanforward/world_test.go
@@ -11,11 +11,13 @@
 
 	"go.uber.org/zap"
 
+	"toucanstair.example/core/toucanpb"
 	"toucanstair.example/core/toucanreplica"
 	"toucanstair.example/core/toucanservice"
 	"toucanstair.example/core/toucantimer"
 	"toucanstair.example/core/toucanzone"
 	"toucanstair.example/toucanstair/toucanquota"
+	"toucanstair.example/toucanstair/toucanrollout"
 	"toucanstair.example/toucanstair/toucanroster"
 	"toucanstair.example/toucanstair/toucanrules"
 	"toucanstair.example/toucanstair/toucansend"
@@ -94,14 +96,31 @@
 
 // orders are the rules and evacuated zones that a test sets.
 type orders struct {
+	mu    sync.Mutex
 	rules *toucanrules.Rules
 	out   map[toucanzone.Name]bool
-	held  string
+
+	first, again toucanrollout.Choice // of a request's first send and of its repeats
+	compared     []string             // version and code of each response that counted
 }
 
 func (o *orders) Rules() *toucanrules.Rules      { return o.rules }
-func (o *orders) Held(toucanservice.Name) string { return o.held }
-func (o *orders) Out() map[toucanzone.Name]bool  { return o.out }
+func (o *orders) Moving(toucanservice.Name) bool { return o.first != toucanrollout.Choice{} }
+
+func (o *orders) Choose(_ toucanservice.Name, _ string, again bool) toucanrollout.Choice {
+	if again {
+		return o.again
+	}
+	return o.first
+}
+
+func (o *orders) Observe(_ toucanservice.Name, version, _ string, code toucanpb.Code, _ time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.compared = append(o.compared, version+" "+code.String())
+}
+
+func (o *orders) Out() map[toucanzone.Name]bool { return o.out }
 
 // setting is a host with one route and targets in zones a and b.
 type setting struct {
@@ -140,6 +159,7 @@
 	return &setting{&Forwarder{
 		Dialect: dialect, Guide: o, Roster: roster, Sender: w, Log: zap.NewNop(),
 		Chooser: &toucanroster.Chooser{Zone: "a", Region: "x", Places: toucanrules.Places{"a": "x", "b": "y"}},
+		Moves:   o,
 		Quota:   &toucanquota.Quota{Ratio: 0.2, Burst: 100}, Shared: one, Single: one,
 	}, w, o, route}
 }
--- /dev/null
+++ b/toucanstair/toucangateway/beat.go
@@ -0,0 +1,16 @@
+package toucangateway
+
+import (
+	"context"
+
+	"toucanstair.example/core/toucanpb"
+)
+
+// Beat sends a heartbeat to the host at an address.
+func (c *Client) Beat(ctx context.Context, address string, r *toucanpb.BeatRequest) (*toucanpb.BeatReply, error) {
+	conn, err := c.conn(address)
+	if err != nil {
+		return nil, err
+	}
+	return toucanpb.NewPeerClient(conn).Beat(ctx, r)
+}
--- a/toucanstair/toucanmove/judge.go
+++ b/toucanstair/toucanmove/judge.go
@@ -73,7 +73,10 @@
 	Store   Store
 	// Leading reports whether this host advances the stages.
 	Leading func() bool
-	Log     *zap.Logger
+	// Wait is the part of an even share of the time left that a stage lasts at
+	// least; a half when it is 0.
+	Wait float64
+	Log  *zap.Logger
 
 	trials atomic.Pointer[map[string]*trial] // by move name, replaced as a whole
 	turn   atomic.Uint64                     // of Offer
--- a/toucanstair/toucanmove/run.go
+++ b/toucanstair/toucanmove/run.go
@@ -23,6 +23,8 @@
 	maxPause  = 10 * time.Second
 	// minStage leaves heartbeats time to bring the evidence of a stage.
 	minStage = 2 * time.Second
+	// defaultWait is Judge.Wait when that is 0.
+	defaultWait = 0.5
 )
 
 // Run judges the moves until ctx ends, and reports its end on the channel.
@@ -207,7 +209,7 @@
 		}
 		return s
 	}
-	if lacking != "" || now.Sub(t.since()) < pace(m, s.GetStage(), t.since()) {
+	if lacking != "" || now.Sub(t.since()) < j.pace(m, s.GetStage(), t.since()) {
 		return s
 	}
 	if int(s.GetStage()) < len(m.GetSteps()) {
@@ -231,10 +233,15 @@
 	return t.entered
 }
 
-// pace returns how long a stage lasts at least: half an even part of the time
-// left, so that each stage gets time for late faults and the other halves
-// remain for stages that wait for evidence or the store.
-func pace(m *toucanpb.Move, stage uint32, entered time.Time) time.Duration {
+// pace returns how long a stage lasts at least: a part of an even share of the
+// time left, so that each stage gets time for late faults and the rest remains
+// for stages that wait for evidence or the store.
+func (j *Judge) pace(m *toucanpb.Move, stage uint32, entered time.Time) time.Duration {
+	wait := j.Wait
+	if wait <= 0 {
+		wait = defaultWait
+	}
 	left := time.Unix(m.GetDeadline(), 0).Sub(entered)
-	return max(left/time.Duration(2*(len(m.GetSteps())+1-int(stage))), minStage)
+	even := left / time.Duration(len(m.GetSteps())+1-int(stage))
+	return max(time.Duration(wait*float64(even)), minStage)
 }
--- /dev/null
+++ b/toucanstair/toucanrollout/rollouts.go
@@ -0,0 +1,286 @@
+// Package toucanrollout carries out orders to move a service's requests to
+// another version of its targets. The comparison of the versions and the stages
+// are toucanmove's; this package gives it the orders, what the targets' responses
+// showed, the evidence of the other hosts and the state in the store.
+//
+// It answers the load of a version that fails or slows down under its first
+// requests: until the move is done, the new version gets a small share, and the
+// repeats of its failed requests go to the old one.
+package toucanrollout
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"toucanstair.example/core/toucanhost"
+	"toucanstair.example/core/toucanpb"
+	"toucanstair.example/core/toucanrank"
+	"toucanstair.example/core/toucanservice"
+	"toucanstair.example/toucanstair/toucancatalog"
+	"toucanstair.example/toucanstair/toucanmove"
+	"toucanstair.example/toucanstair/toucanreader"
+)
+
+const (
+	// share is the part of the requests that the new version gets before the move
+	// is done; a bad version may get a tenth of them until the deadline.
+	share = 0.09
+	// wait is the part of the time that passes before a move is done, since some
+	// faults show late. The rest is for hosts and a store that are away.
+	wait = 0.75
+	// worseBound is how much higher the new version's share of failures, or of slow
+	// responses, may be; one pause among ten responses is no fault.
+	worseBound = 0.1
+	// samples is the number of responses of the new version on each route that a
+	// move needs.
+	samples = 10
+	// routeLeast is the number of responses on a host from which on a route is
+	// compared; a move would wait for samples of a rarer one that never come.
+	routeLeast = 4
+	// leaders is the number of hosts that advance moves. Writes are conditional, so
+	// a second one does no harm and goes on when the first one has lost the store.
+	leaders = 2
+)
+
+// Phase says how a move stands, in the operators' terms.
+type Phase int
+
+// The phases of a move. A late move goes on running.
+const (
+	Running Phase = iota
+	Done
+	Back
+)
+
+// Status is what operators read of a move.
+type Status struct {
+	Service toucanservice.Name
+	Version string
+	Phase   Phase
+}
+
+// Store keeps the states of moves.
+type Store interface {
+	// Get returns the value of a key and its revision, 0 when there is none.
+	Get(ctx context.Context, key string) ([]byte, uint64, error)
+	// Record writes a state under its key if that has the revision prev, together
+	// with the status for the operators, and returns the new revision.
+	Record(ctx context.Context, key string, value []byte, prev uint64, s Status) (uint64, error)
+}
+
+// Exchanger sends a heartbeat to the host at an address.
+type Exchanger interface {
+	Beat(ctx context.Context, address string, r *toucanpb.BeatRequest) (*toucanpb.BeatReply, error)
+}
+
+// Rollouts keeps the moves that are on order. Its exported fields are set
+// before use.
+type Rollouts struct {
+	Self     toucanreader.Peer
+	Boot     toucanhost.ID // of this process; differs after a restart
+	Store    Store
+	Peers    func() []toucanreader.Peer
+	Exchange Exchanger
+	Log      *zap.Logger
+
+	once    sync.Once
+	judge   *toucanmove.Judge
+	catalog atomic.Pointer[toucancatalog.Catalog]
+	moves   atomic.Pointer[map[toucanservice.Name]*move] // replaced as a whole
+
+	mu     sync.Mutex
+	orders map[toucanservice.Name]*move
+	back   map[toucanservice.Name]State          // last move of a service that was taken back
+	routes map[toucanservice.Name]map[string]int // responses seen, up to routeLeast
+}
+
+// move is an order with what is known of it.
+type move struct {
+	Order
+	deadline time.Time
+}
+
+func (r *Rollouts) init() {
+	r.once.Do(func() {
+		r.orders = make(map[toucanservice.Name]*move)
+		r.back = make(map[toucanservice.Name]State)
+		r.routes = make(map[toucanservice.Name]map[string]int)
+		r.judge = &toucanmove.Judge{
+			Source: r.Boot, Catalog: r.catalog.Load, Store: states{r}, Leading: r.leads, Wait: wait, Log: r.Log,
+		}
+	})
+}
+
+// Take takes in an order that was seen at a moment.
+func (r *Rollouts) Take(o Order, now time.Time) {
+	r.init()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if old := r.orders[o.Service]; old != nil && old.Number >= o.Number {
+		return
+	}
+	r.orders[o.Service] = &move{o, now.Add(o.Within)}
+	r.index()
+	r.Log.Info("version on order", zap.String("service", string(o.Service)), zap.String("target version", o.Version),
+		zap.Duration("within", o.Within), zap.Uint64("revision", o.Number))
+}
+
+// Withdraw notes that the order of a service is gone. A version that was taken
+// back still gets nothing.
+func (r *Rollouts) Withdraw(s toucanservice.Name) {
+	r.init()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := r.orders[s]
+	if m == nil {
+		return
+	}
+	if r.phase(m) == toucanpb.MoveState_PHASE_BACK {
+		r.back[s] = State{Service: s, Number: m.Number, Version: m.Version, Phase: toucanpb.MoveState_PHASE_BACK}
+	}
+	delete(r.orders, s)
+	r.index()
+	r.Log.Info("order withdrawn", zap.String("service", string(s)))
+}
+
+// Learn takes in a state that was read from the store, whoever wrote it.
+func (r *Rollouts) Learn(s State) {
+	r.init()
+	r.mu.Lock()
+	if s.Phase == toucanpb.MoveState_PHASE_BACK && s.Number >= r.back[s.Service].Number {
+		r.back[s.Service] = s
+	}
+	m := r.orders[s.Service]
+	if m != nil && m.Number == s.Number && s.Deadline.Before(m.deadline) {
+		r.orders[s.Service] = &move{m.Order, s.Deadline}
+		r.index()
+	}
+	r.mu.Unlock()
+	r.judge.Accept(nil, &toucanpb.Gossip{Moves: []*toucanpb.MoveState{s.message()}})
+}
+
+// index gives the judge the orders as a configuration; the caller holds mu.
+func (r *Rollouts) index() {
+	rules := &toucanpb.Rules{}
+	moves := make(map[toucanservice.Name]*move, len(r.orders))
+	for s, m := range r.orders {
+		moves[s] = m
+		service := &toucanpb.Service{Name: string(s)}
+		for name, seen := range r.routes[s] {
+			if seen >= routeLeast {
+				service.Routes = append(service.Routes, &toucanpb.Route{Name: name})
+			}
+		}
+		rules.Services = append(rules.Services, service)
+		rules.Moves = append(rules.Moves, &toucanpb.Move{
+			Name: m.name(), Service: string(s), To: m.Version, Deadline: m.deadline.Unix(),
+			Start: share, Bound: worseBound, Samples: samples,
+		})
+	}
+	r.moves.Store(&moves)
+	r.catalog.Store(toucancatalog.New(rules))
+}
+
+func (r *Rollouts) move(s toucanservice.Name) *move {
+	if ms := r.moves.Load(); ms != nil {
+		return (*ms)[s]
+	}
+	return nil
+}
+
+// Choice says which version of a service's targets a request may go to.
+type Choice struct {
+	Only string // the version that it should go to; "": any but Held
+	Held string // the version that gets nothing; "": none
+}
+
+// Choose returns the choice for a request, the same on all hosts. again says that
+// the request was sent before: a repeat is left to the old version.
+func (r *Rollouts) Choose(s toucanservice.Name, request string, again bool) Choice {
+	m := r.move(s)
+	if m == nil {
+		return r.after(s)
+	}
+	if r.judge.Version(s, request) != m.Version {
+		return Choice{Held: m.Version}
+	}
+	if again && r.phase(m) != toucanpb.MoveState_PHASE_DONE {
+		return Choice{Held: m.Version}
+	}
+	return Choice{Only: m.Version}
+}
+
+// after returns the choice for a service without an order.
+func (r *Rollouts) after(s toucanservice.Name) Choice {
+	if r.moves.Load() == nil {
+		return Choice{}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return Choice{Held: r.back[s].Version}
+}
+
+func (r *Rollouts) phase(m *move) toucanpb.MoveState_Phase {
+	for _, s := range r.judge.Status() {
+		if s.GetName() == m.name() {
+			return s.GetPhase()
+		}
+	}
+	return toucanpb.MoveState_PHASE_UNSPECIFIED
+}
+
+// Moving reports whether the responses of a service's targets matter.
+func (r *Rollouts) Moving(s toucanservice.Name) bool { return r.move(s) != nil }
+
+// Observe counts a response, or the failure, of a target of a version. took is
+// the time without the way to the target and back, so that targets in different
+// regions can be compared.
+func (r *Rollouts) Observe(s toucanservice.Name, version, route string, code toucanpb.Code, took time.Duration) {
+	m := r.move(s)
+	if m == nil {
+		return
+	}
+	if version != m.Version {
+		version = ""
+	}
+	if r.counts(s, route) {
+		r.judge.Observe(s, version, route, code, took)
+	}
+}
+
+// counts reports whether a route has enough responses to be compared.
+func (r *Rollouts) counts(s toucanservice.Name, route string) bool {
+	if c := r.catalog.Load(); c != nil && c.Route(s, route) != nil {
+		return true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.routes[s] == nil {
+		r.routes[s] = make(map[string]int)
+	}
+	if r.routes[s][route]++; r.routes[s][route] == routeLeast {
+		r.index()
+	}
+	return false
+}
+
+// leads reports whether this host advances moves.
+func (r *Rollouts) leads() bool {
+	ids := []string{string(r.Self.ID)}
+	for _, p := range r.Peers() {
+		if p.ID != r.Self.ID {
+			ids = append(ids, string(p.ID))
+		}
+	}
+	ranked := toucanrank.Ranker{}.Rank(Prefix, ids)
+	for _, id := range ranked[:min(leaders, len(ranked))] {
+		if id == string(r.Self.ID) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/toucanstair/toucanrollout/rollouts_test.go
@@ -0,0 +1,294 @@
+package toucanrollout_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"toucanstair.example/core/toucanfault"
+	"toucanstair.example/core/toucanhost"
+	"toucanstair.example/core/toucanpb"
+	"toucanstair.example/toucanstair/toucanreader"
+	"toucanstair.example/toucanstair/toucanrollout"
+)
+
+const (
+	hosts  = 6
+	within = 12 * time.Second
+	step   = 20 * time.Millisecond
+	// perStep is the number of requests of all hosts in a step, 100 a second.
+	perStep = 2
+	// exposureShare and exposureSlack bound what a bad version may get of the
+	// requests between the order and its deadline.
+	exposureShare, exposureSlack = 0.1, 50
+	// A bad version gets nothing later than backTime after this bad response.
+	nthBad   = 50
+	backTime = 5 * time.Second
+)
+
+// store is the platform's store, with conditional writes.
+type store struct {
+	mu     sync.Mutex
+	values map[string][]byte
+	revs   map[string]uint64
+	rev    uint64
+	status []toucanrollout.Status
+	away   func(host toucanhost.ID) bool // hosts that it turns away; nil: none
+}
+
+// door is the store as one host reaches it.
+type door struct {
+	*store
+	host toucanhost.ID
+}
+
+func (d door) refuses() error {
+	if d.away != nil && d.away(d.host) {
+		return toucanfault.NotRun(toucanpb.Code_CODE_STORE, "away")
+	}
+	return nil
+}
+
+func (d door) Get(_ context.Context, key string) ([]byte, uint64, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.values[key], d.revs[key], d.refuses()
+}
+
+func (d door) Record(_ context.Context, key string, value []byte, prev uint64, s toucanrollout.Status) (uint64, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err := d.refuses(); err != nil {
+		return 0, err
+	}
+	if d.revs[key] != prev {
+		return 0, toucanfault.NotRun(toucanpb.Code_CODE_CONFLICT, key)
+	}
+	d.rev++
+	d.values[key], d.revs[key], d.status = value, d.rev, append(d.status, s)
+	return d.rev, nil
+}
+
+func (s *store) last() toucanrollout.Phase {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.status) == 0 {
+		return -1
+	}
+	return s.status[len(s.status)-1].Phase
+}
+
+// response is how a target of a version treats a request.
+type response func(rng *rand.Rand, at time.Duration, share float64) (fail bool, took time.Duration)
+
+func sound(rng *rand.Rand, _ time.Duration, _ float64) (bool, time.Duration) {
+	took := 8*time.Millisecond + time.Duration(rng.Int64N(int64(4*time.Millisecond)))
+	if rng.IntN(24) == 0 {
+		took += time.Duration(rng.Int64N(int64(150 * time.Millisecond))) // a pause
+	}
+	return rng.IntN(500) == 0, took
+}
+
+// fleet is a number of hosts that serve a service while it moves.
+type fleet struct {
+	store    *store
+	rollouts []*toucanrollout.Rollouts
+	peers    []toucanreader.Peer
+	cut      func(from, to toucanhost.ID) bool
+
+	total   int
+	exposed int           // of total, at the new version
+	shown   time.Duration // of the 50th bad response; 0: not yet
+	bad     int           // bad responses
+	lastNew time.Duration // last request at the new version
+}
+
+type way struct {
+	*fleet
+	from toucanhost.ID
+}
+
+func (w way) Beat(ctx context.Context, address string, r *toucanpb.BeatRequest) (*toucanpb.BeatReply, error) {
+	for i, p := range w.peers {
+		if p.Address == address && (w.cut == nil || !w.cut(w.from, p.ID)) {
+			return w.rollouts[i].Beat(ctx, r)
+		}
+	}
+	return nil, toucanfault.NotRun(toucanpb.Code_CODE_CUT, address)
+}
+
+func newFleet() *fleet {
+	f := &fleet{store: &store{values: map[string][]byte{}, revs: map[string]uint64{}}}
+	for i := range hosts {
+		id := toucanhost.ID(fmt.Sprint("h", i))
+		p := toucanreader.Peer{ID: id, Zone: "a", Address: string(id)}
+		f.peers = append(f.peers, p)
+		f.rollouts = append(f.rollouts, &toucanrollout.Rollouts{
+			Self: p, Boot: id + "/1", Store: door{f.store, id}, Exchange: way{f, id}, Log: zap.NewNop(),
+			Peers: func() []toucanreader.Peer { return append([]toucanreader.Peer(nil), f.peers...) },
+		})
+	}
+	return f
+}
+
+// play drives an order from its start for a span, and calls each before each step.
+func (f *fleet) play(t *testing.T, seed uint64, span time.Duration, fresh response, each func(at time.Duration)) {
+	rng := rand.New(rand.NewPCG(seed, 3))
+	ctx, cancel := context.WithCancel(t.Context())
+	var ends []<-chan error
+	for _, r := range f.rollouts {
+		ends = append(ends, r.Run(ctx))
+		r.Take(order(7), time.Now())
+	}
+	began := time.Now()
+	for n := 0; time.Since(began) < span; n++ {
+		at := time.Since(began)
+		if each != nil {
+			each(at)
+		}
+		for k := range perStep {
+			r := f.rollouts[rng.IntN(hosts)]
+			f.ask(rng, r, fmt.Sprint(seed, "/", n, "/", k), at, fresh)
+		}
+		<-time.After(step)
+	}
+	synctest.Wait()
+	cancel()
+	for _, e := range ends {
+		require.NoError(t, <-e)
+	}
+}
+
+func order(n uint64) toucanrollout.Order {
+	return toucanrollout.Order{Service: "s", Version: "v2", Within: within, Number: n}
+}
+
+func (f *fleet) ask(rng *rand.Rand, r *toucanrollout.Rollouts, id string, at time.Duration, fresh response) {
+	f.total++
+	c := r.Choose("s", id, false)
+	version, answer := "v1", response(sound)
+	if c.Only == "v2" {
+		version, answer = "v2", fresh
+		f.exposed++
+		f.lastNew = at
+	}
+	fail, took := answer(rng, at, float64(f.exposed)/float64(f.total))
+	if version == "v2" && (fail || took > 24*time.Millisecond) {
+		if f.bad++; f.bad == nthBad {
+			f.shown = at
+		}
+	}
+	code := toucanpb.Code_CODE_UNSPECIFIED
+	if fail {
+		code = toucanpb.Code_CODE_FAILED
+	}
+	route := []string{"broad", "broad", "broad", "quick"}[rng.IntN(4)]
+	r.Observe("s", version, route, code, took)
+}
+
+// Guards against a good version that is not in use by its deadline, whatever one
+// host's store and another's peers do.
+func TestGoodVersionIsDoneInTime(t *testing.T) {
+	for name, prepare := range map[string]func(f *fleet){
+		"calm":                  func(*fleet) {},
+		"a host is turned away": func(f *fleet) { f.store.away = func(h toucanhost.ID) bool { return h == "h0" } },
+		"a host is alone":       func(f *fleet) { f.cut = func(a, b toucanhost.ID) bool { return a == "h3" || b == "h3" } },
+	} {
+		for seed := range uint64(10) {
+			t.Run(fmt.Sprint(name, "/", seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFleet()
+					prepare(f)
+					f.play(t, seed, within, sound, nil)
+					require.Equal(t, toucanrollout.Done, f.store.last(), "seed %d: %s", seed, f.store.values["moves/s"])
+				})
+			})
+		}
+	}
+}
+
+// Plays versions that fail or slow down and checks what they get of the callers'
+// requests.
+func TestBadVersionGetsItsShareOnly(t *testing.T) {
+	failing := func(rng *rand.Rand, at time.Duration, share float64) (bool, time.Duration) {
+		fail, took := sound(rng, at, share)
+		return fail || rng.IntN(10) < 4, took
+	}
+	for name, is := range map[string]response{
+		"fails": failing,
+		"slow": func(rng *rand.Rand, at time.Duration, share float64) (bool, time.Duration) {
+			fail, took := sound(rng, at, share)
+			return fail, 4 * took
+		},
+		"fails later": func(rng *rand.Rand, at time.Duration, share float64) (bool, time.Duration) {
+			if at < 3*time.Second {
+				return sound(rng, at, share)
+			}
+			return failing(rng, at, share)
+		},
+		"fails under load": func(rng *rand.Rand, at time.Duration, share float64) (bool, time.Duration) {
+			if share < 0.04 {
+				return sound(rng, at, share)
+			}
+			return failing(rng, at, share)
+		},
+	} {
+		for seed := range uint64(10) {
+			t.Run(fmt.Sprint(name, "/", seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFleet()
+					f.play(t, seed, within, is, nil)
+					t.Logf("%d of %d requests, %d bad responses, last at %v", f.exposed, f.total, f.bad, f.lastNew)
+					require.LessOrEqual(t, float64(f.exposed), exposureShare*float64(f.total)+exposureSlack, "seed %d", seed)
+					if f.shown > 0 {
+						require.LessOrEqual(t, f.lastNew, f.shown+backTime, "seed %d", seed)
+					}
+					require.Equal(t, toucanrollout.Back, f.store.last(), "seed %d: %s", seed, f.store.values["moves/s"])
+				})
+			})
+		}
+	}
+}
+
+// Guards against a version that was taken back and gets requests again when its
+// order is gone, on hosts that saw the move and on one that started after it; and
+// against one that stays held when it is ordered anew.
+func TestVersionThatWasTakenBackStaysAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		always := func(*rand.Rand, time.Duration, float64) (bool, time.Duration) { return true, 8 * time.Millisecond }
+		f.play(t, 1, within, always, nil)
+		require.Equal(t, toucanrollout.Back, f.store.last())
+		late := &toucanrollout.Rollouts{Log: zap.NewNop()}
+		state := toucanrollout.Decode("moves/s", f.store.values["moves/s"])
+		require.NotNil(t, state)
+		late.Learn(*state)
+		late.Take(order(7), time.Now())
+		for _, r := range append(f.rollouts, late) {
+			r.Withdraw("s")
+			require.Equal(t, toucanrollout.Choice{Held: "v2"}, r.Choose("s", "q", false))
+		}
+		late.Take(order(9), time.Now())
+		require.True(t, late.Moving("s"))
+	})
+}
+
+// Guards against a move that starts before the hosts agree on its state, and
+// against an older order that replaces a newer one.
+func TestUnknownStateGivesTheNewVersionNothing(t *testing.T) {
+	r := &toucanrollout.Rollouts{Log: zap.NewNop()}
+	require.Equal(t, toucanrollout.Choice{}, r.Choose("s", "q", false))
+	r.Take(toucanrollout.Order{Service: "s", Version: "v3", Within: within, Number: 9}, time.Now())
+	r.Take(order(7), time.Now())
+	for i := range 100 {
+		require.Equal(t, toucanrollout.Choice{Held: "v3"}, r.Choose("s", fmt.Sprint(i), false))
+	}
+	require.Equal(t, toucanrollout.Choice{}, r.Choose("other", "q", false))
+}
--- a/toucanstair/toucanroster/choose.go
+++ b/toucanstair/toucanroster/choose.go
@@ -41,17 +41,28 @@
 	Evacuated map[toucanzone.Name]bool // zones that get nothing
 	Tried     []toucanreplica.ID       // targets that have got it
 	Held      string                   // version of the software that gets nothing; "": none
+	Only      string                   // version that it goes to if a target of it can be used; "": any
 	ColdRate  float64                  // requests a second that a cold target bears from this host; 0: no limit
 }
 
 // Choose returns the target with the least expected time to respond and that
-// time, or nil when no target may be used.
+// time, or nil when no target may be used. Without a target of the version that
+// it should go to, a request goes to another one.
 func (c *Chooser) Choose(ts []*Target, n Need, now time.Time) (*Target, time.Duration) {
-	n = n.among(ts)
+	if n.Only != "" {
+		if t, expect := c.least(ts, n, now); t != nil {
+			return t, expect
+		}
+		n.Only, n.Held = "", n.Only
+	}
+	return c.least(ts, n.among(ts), now)
+}
+
+func (c *Chooser) least(ts []*Target, n Need, now time.Time) (*Target, time.Duration) {
 	var best *Target
 	var least time.Duration
 	for _, t := range ts {
-		if !c.allows(t, n) {
+		if !c.allows(t, n) || n.Only != "" && t.Version != n.Only {
 			continue
 		}
 		v := t.Load.View(now)
@@ -100,7 +111,7 @@
 func (c *Chooser) Expect(t *Target, v View, now time.Time) time.Duration {
 	e := v.Latency
 	if e == 0 {
-		e = c.way(t) + guessWork
+		e = c.Way(t) + guessWork
 		if t.Cold(now) {
 			e *= coldFactor
 		}
@@ -108,7 +119,7 @@
 	// A target whose oldest exchange is late has paused or is lost.
 	e = max(e, v.Oldest)
 	if c.Connected != nil && !c.Connected(t) {
-		e += c.way(t) + connectWork
+		e += c.Way(t) + connectWork
 	}
 	slots := max(1, t.Slots)
 	queue := max(v.Running, v.Waiting)
@@ -116,7 +127,8 @@
 	return e + time.Duration((v.Failures+v.Refusals/2)*float64(failCost))
 }
 
-func (c *Chooser) way(t *Target) time.Duration {
+// Way returns the assumed time to a target and back.
+func (c *Chooser) Way(t *Target) time.Duration {
 	switch {
 	case t.Zone == c.Zone:
 		return wayZone
