Hold callers to the operators' limits on heads and idle connections

Cause: fixed limits of the HTTP server applied on the users' platform (64 KB, 10 s, 120 s), whatever the operators' limits said. toucanguard watches each connection: 408 for a head that takes longer than the limit, 431 for one that is larger, and idle connections are closed 2 s after the limit in force at that moment, so that a caller within it never meets a close. Tests on connections in the process with a paused clock.

--- a/toucanstair/toucanentry/entry.go
+++ b/toucanstair/toucanentry/entry.go
@@ -27,6 +27,7 @@
 	"toucanstair.example/toucanstair/toucanfollow"
 	"toucanstair.example/toucanstair/toucanforward"
 	"toucanstair.example/toucanstair/toucangateway"
+	"toucanstair.example/toucanstair/toucanguard"
 	"toucanstair.example/toucanstair/toucanmirror"
 	"toucanstair.example/toucanstair/toucanplace"
 	"toucanstair.example/toucanstair/toucanquota"
@@ -40,11 +41,11 @@
 )
 
 const (
-	// headerTime and idleTime bound callers beyond what the operators' limits
-	// say, which a starting host does not know yet.
-	headerTime = 10 * time.Second
-	idleTime   = 120 * time.Second
-	maxHeader  = 64 << 10 // bytes
+	// headerTime, idleTime and maxHeader bound what no limit of the operators
+	// may exceed.
+	headerTime = 60 * time.Second
+	idleTime   = 10 * time.Minute
+	maxHeader  = 256 << 10 // bytes
 	// lingerTime is how long callers may open connections after a stop began:
 	// the load balancer asks each second and needs two misses.
 	lingerTime = 2600 * time.Millisecond
@@ -161,17 +162,24 @@
 			placer.Update(peers)
 			gateways.Retain(peers)
 		}))
-	front := e.server(forwarder)
+	guard := &toucanguard.Guard{Limits: follower.Limits, Log: e.Log}
+	front := e.server(guard.Handler(forwarder))
+	front.ConnState = guard.State
+	front.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		ctx, plain := guard.Context(ctx, c)
+		return toucanway.With(ctx, plain)
+	}
 	ready := e.server(e.readiness(follower))
 	ends := make(chan error, 3)
 	for _, l := range []struct {
 		address string
 		server  *http.Server
-	}{{s.Front, front}, {s.Ready, ready}, {s.Metrics, e.server(http.HandlerFunc(writeMetrics))}} {
+		guard   *toucanguard.Guard
+	}{{s.Front, front, guard}, {s.Ready, ready, nil}, {s.Metrics, e.server(http.HandlerFunc(writeMetrics)), nil}} {
 		if l.address == "" {
 			continue
 		}
-		if err := listen(ctx, l.address, l.server, ends); err != nil {
+		if err := listen(ctx, l.address, l.server, l.guard, ends); err != nil {
 			return err
 		}
 	}
@@ -291,7 +299,7 @@
 func (e *Entry) server(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeader,
-		ErrorLog: zap.NewStdLog(e.Log), ConnContext: toucanway.With,
+		ErrorLog: zap.NewStdLog(e.Log),
 	}
 }
 
@@ -314,11 +322,15 @@
 	metrics.WritePrometheus(w, true)
 }
 
-func listen(ctx context.Context, address string, s *http.Server, ends chan<- error) error {
+// listen serves at an address; guard may be nil.
+func listen(ctx context.Context, address string, s *http.Server, guard *toucanguard.Guard, ends chan<- error) error {
 	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
 	if err != nil {
 		return err
 	}
+	if guard != nil {
+		l = guard.Listener(l)
+	}
 	go func() {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			ends <- err
--- a/toucanstair/toucanfollow/follower.go
+++ b/toucanstair/toucanfollow/follower.go
@@ -137,6 +137,14 @@
 // Rules returns the newest rules, or nil before there are any.
 func (f *Follower) Rules() *toucanrules.Rules { return f.rules.Load() }
 
+// Limits returns what callers may send; nothing is known before there are rules.
+func (f *Follower) Limits() toucanrules.Limits {
+	if r := f.Rules(); r != nil {
+		return r.Limits
+	}
+	return toucanrules.Limits{}
+}
+
 // RulesAt returns the rules of a version that is, or was a short time ago, in
 // effect, or nil.
 func (f *Follower) RulesAt(version uint64) *toucanrules.Rules {
--- /dev/null
+++ b/toucanstair/toucanguard/guard_test.go
@@ -0,0 +1,158 @@
+package toucanguard_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"toucanstair.example/toucanstair/toucanguard"
+	"toucanstair.example/toucanstair/toucanrules"
+)
+
+var limits = toucanrules.Limits{HeaderBytes: 1000, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+
+// pipes is a listener whose connections stay in this process.
+type pipes struct {
+	conns chan net.Conn
+	done  chan struct{}
+}
+
+func (p pipes) Accept() (net.Conn, error) {
+	select {
+	case c := <-p.conns:
+		return c, nil
+	case <-p.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (p pipes) Close() error   { close(p.done); return nil }
+func (p pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+// serve returns a function that opens a connection to a guarded server, whose
+// handler takes 20 s for the path /slow.
+func serve(t *testing.T) func() net.Conn {
+	return serveWith(t, func() toucanrules.Limits { return limits })
+}
+
+func serveWith(t *testing.T, limits func() toucanrules.Limits) func() net.Conn {
+	g := &toucanguard.Guard{Limits: limits, Log: zap.NewNop()}
+	s := &http.Server{
+		ConnState: g.State, ReadHeaderTimeout: time.Minute,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			ctx, _ = g.Context(ctx, c)
+			return ctx
+		},
+		Handler: g.Handler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/slow" {
+				<-time.After(20 * time.Second)
+			}
+		})),
+	}
+	l := pipes{make(chan net.Conn), make(chan struct{})}
+	end := make(chan error, 1)
+	go func() { end <- s.Serve(g.Listener(l)) }()
+	t.Cleanup(func() {
+		if err := errors.Join(s.Close(), <-end); !errors.Is(err, http.ErrServerClosed) {
+			t.Error(err)
+		}
+	})
+	return func() net.Conn {
+		here, there := net.Pipe()
+		l.conns <- there
+		return here
+	}
+}
+
+const request = "GET / HTTP/1.1\r\nHost: a.example\r\n\r\n"
+
+// status sends a request and returns the status of the response.
+func status(t *testing.T, c net.Conn, in *bufio.Reader, text string) int {
+	_, err := io.WriteString(c, text)
+	require.NoError(t, err)
+	res, err := http.ReadResponse(in, nil)
+	require.NoError(t, err)
+	_, err = io.Copy(io.Discard, res.Body)
+	require.NoError(t, err)
+	return res.StatusCode
+}
+
+// Guards against callers that hold a connection without end, and against one
+// that is closed although its caller is within the limits.
+func TestConnectionsLastAsLongAsTheLimitsAllow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		open := serve(t)
+		c := open()
+		in := bufio.NewReader(c)
+		for range 3 {
+			require.Equal(t, http.StatusOK, status(t, c, in, request))
+			<-time.After(limits.IdleTimeout * 4 / 5)
+		}
+		slow := strings.Replace(request, "/ ", "/slow ", 1)
+		require.Equal(t, http.StatusOK, status(t, c, in, slow), "a long request is no idle connection")
+		began := time.Now()
+		_, err := in.ReadByte()
+		require.ErrorIs(t, err, io.EOF)
+		require.Equal(t, limits.IdleTimeout+2*time.Second, time.Since(began))
+	})
+}
+
+// Guards against a connection that is closed by a limit that the operators have
+// raised while it was idle.
+func TestRaisedLimitHoldsForIdleConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var raised atomic.Bool
+		c := serveWith(t, func() toucanrules.Limits {
+			l := limits
+			if raised.Load() {
+				l.IdleTimeout *= 2
+			}
+			return l
+		})()
+		in := bufio.NewReader(c)
+		require.Equal(t, http.StatusOK, status(t, c, in, request))
+		<-time.After(time.Second)
+		raised.Store(true)
+		<-time.After(limits.IdleTimeout * 8 / 5)
+		require.Equal(t, http.StatusOK, status(t, c, in, request))
+	})
+}
+
+// Guards against a caller that sends the head of a request too slowly.
+func TestSlowHeadIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := serve(t)()
+		in := bufio.NewReader(c)
+		<-time.After(10 * time.Second)
+		began := time.Now()
+		require.Equal(t, http.StatusRequestTimeout, status(t, c, in, "GET / HTT"))
+		require.Equal(t, limits.HeaderTimeout, time.Since(began))
+		_, err := in.ReadByte()
+		require.ErrorIs(t, err, io.EOF)
+	})
+}
+
+// Guards against heads that are larger than the operators allow, and against one
+// that is refused although it is not.
+func TestLargeHeadIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		open := serve(t)
+		for filler, want := range map[int]int{900: http.StatusOK, 1000: http.StatusRequestHeaderFieldsTooLarge} {
+			c := open()
+			text := strings.Replace(request, "\r\n\r\n", "\r\nFiller: "+strings.Repeat("x", filler)+"\r\n\r\n", 1)
+			require.Equal(t, want, status(t, c, bufio.NewReader(c), text))
+			require.NoError(t, c.Close())
+		}
+	})
+}
