Trace each hop of requests that are forwarded

A span for the request at the caller's host, for the hand-over to a stronger host, for the request there, and for each exchange with a target; hosts pass the context in their calls' metadata, targets get their requests unchanged. TestEachHopHasASpan checks names and parents.

--- a/toucanstair/toucancommand/settings.go
+++ b/toucanstair/toucancommand/settings.go
@@ -13,6 +13,8 @@
 
 	"toucanstair.example/core/toucanfault"
 	"toucanstair.example/core/toucanpb"
+
+	"toucanstair.example/toucanstair/toucantrace"
 )
 
 // envPrefix is put before a flag's name in capitals to name its environment
@@ -54,7 +56,7 @@
 }
 
 var (
-	traces = []string{"none", "stdout", "otlp"}
+	traces = toucantrace.Kinds
 	levels = []string{"debug", "info", "warn", "error"}
 	routes = []string{"random", "balanced"}
 )
--- a/toucanstair/toucanforward/flight.go
+++ b/toucanstair/toucanforward/flight.go
@@ -7,6 +7,8 @@
 	"runtime"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+
 	"toucanstair.example/core/toucanservice"
 	"toucanstair.example/toucanstair/toucangather"
 	"toucanstair.example/toucanstair/toucanroster"
@@ -193,8 +195,10 @@
 	g.f.lag.observe(sent.Sub(planned))
 	compared := g.f.compares(t, sent)
 	n := t.Load.Begin(sent)
-	res, err := g.f.Sender.Do(g.ctx, r, g.limit.Sub(sent))
+	ctx, span := startChild(g.ctx, "target")
+	res, err := g.f.Sender.Do(ctx, r, g.limit.Sub(sent))
 	t.Load.End(n)
+	endChild(span, err, attribute.String("toucan.target", string(t.ID)), attribute.String("toucan.service", string(t.Service)))
 	ev := event{leg: i, target: t, res: res}
 	if err != nil && !errors.As(err, &ev.err) {
 		ev.err = &toucansend.Error{Fate: toucansend.Unknown, Cause: err}
--- a/toucanstair/toucanforward/forwarder.go
+++ b/toucanstair/toucanforward/forwarder.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"go.opentelemetry.io/otel/propagation"
 	"go.uber.org/zap"
 
 	"toucanstair.example/core/toucanpb"
@@ -108,6 +109,9 @@
 		return
 	}
 	e.route = route.Name
+	ctx, span := startSpan(r.Context(), propagation.HeaderCarrier(r.Header), "request")
+	defer func() { endSpan(span, e) }()
+	r = r.WithContext(ctx)
 	if e.id == "" {
 		f.fail(w, e, http.StatusBadRequest, "the request has no id")
 		return
--- a/toucanstair/toucanforward/gateway.go
+++ b/toucanstair/toucanforward/gateway.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
 
@@ -43,11 +44,13 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, g.limit)
 	defer cancel()
+	ctx, span := startChild(ctx, "gather")
 	reply, err := f.Handing.Client.Gather(ctx, peer.Address, &toucanpb.GatherRequest{
 		Id: g.entry.id, Method: r.Method, Uri: r.RequestURI, Host: r.Host, Fields: fields(f.forwardable(r.Header)),
 		Body: body, Rules: g.entry.version, Route: g.route.Name,
 		Due: int64(g.plan.Due.Sub(now) - handTime), Limit: int64(g.limit.Sub(now)),
 	})
+	endChild(span, err, attribute.String("toucan.host", string(peer.ID)))
 	left := r.Context().Err() != nil
 	connecting := errors.Is(err, toucangateway.ErrConnecting)
 	f.Handing.Placer.End(peer.ID, err == nil || left || connecting, time.Now())
@@ -112,6 +115,8 @@
 	}
 	e := &entry{id: r.GetId(), began: began, version: r.GetRules(), route: route.Name, handed: true}
 	defer f.report(e)
+	ctx, span := startSpan(stream.Context(), incoming(stream.Context()), "request of another host")
+	defer func() { endSpan(span, e) }()
 	header := make(http.Header, len(r.GetFields()))
 	for _, h := range r.GetFields() {
 		header[h.GetName()] = h.GetValues()
@@ -119,7 +124,7 @@
 	m := toucansend.NewMessage(r.GetId(), r.GetMethod(), r.GetUri(), r.GetHost(), header, r.GetBody())
 	g := f.flight(m, route, e, began.Add(time.Duration(r.GetLimit())))
 	g.plan.Due = began.Add(time.Duration(r.GetDue()))
-	g.run(stream.Context())
+	g.run(ctx)
 	var w reply
 	g.respond(&w)
 	return stream.Send(&toucanpb.GatherReply{
--- a/toucanstair/toucanforward/gateway_test.go
+++ b/toucanstair/toucanforward/gateway_test.go
@@ -10,6 +10,10 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.opentelemetry.io/otel"
+	sdk "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+	"go.opentelemetry.io/otel/trace"
 	"google.golang.org/grpc"
 
 	"toucanstair.example/core/toucanpb"
@@ -123,3 +127,30 @@
 	_, err = client.Gather(t.Context(), address, unknown)
 	require.ErrorIs(t, err, toucangateway.ErrConnecting)
 }
+
+// Guards against a hop that does not show in a trace.
+func TestEachHopHasASpan(t *testing.T) {
+	recorder := tracetest.NewSpanRecorder()
+	before := otel.GetTracerProvider()
+	otel.SetTracerProvider(sdk.NewTracerProvider(sdk.WithSpanProcessor(recorder)))
+	t.Cleanup(func() { otel.SetTracerProvider(before) })
+	weak, strong := newSetting(3, quick), newSetting(3, quick)
+	var held atomic.Bool
+	address, wait := serveGateway(t, strong, &held)
+	handTo(t, weak, address)
+	w, _ := weak.ask(t.Context())
+	require.Equal(t, http.StatusOK, w.Code)
+	wait()
+	parents := map[string]trace.SpanID{}
+	ids := map[string]trace.SpanID{}
+	count := map[string]int{}
+	for _, s := range recorder.Ended() {
+		count[s.Name()]++
+		ids[s.Name()], parents[s.Name()] = s.SpanContext().SpanID(), s.Parent().SpanID()
+		require.Equal(t, recorder.Ended()[0].SpanContext().TraceID(), s.SpanContext().TraceID())
+	}
+	require.Equal(t, map[string]int{"request": 1, "gather": 1, "request of another host": 1, "target": 3}, count)
+	require.Equal(t, ids["request"], parents["gather"])
+	require.Equal(t, ids["gather"], parents["request of another host"])
+	require.Equal(t, ids["request of another host"], parents["target"])
+}
--- a/toucanstair/toucangateway/client.go
+++ b/toucanstair/toucangateway/client.go
@@ -8,9 +8,12 @@
 	"sync"
 	"time"
 
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/metadata"
 
 	"toucanstair.example/core/toucanpb"
 	"toucanstair.example/toucanstair/toucanreader"
@@ -24,6 +27,9 @@
 // maxMessage bounds a message, in bytes.
 const maxMessage = 8 << 20
 
+// TraceKey is the key of a call's metadata that carries the sender's span.
+const TraceKey = "traceparent"
+
 // ErrNotTaken means that the host does not gather the request, and sent
 // nothing for it. ErrConnecting means the same, for want of a connection.
 var (
@@ -53,7 +59,7 @@
 		conn.Connect()
 		return nil, ErrConnecting
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancel(traced(ctx))
 	defer cancel()
 	late := time.AfterFunc(takeTime, cancel)
 	stream, err := toucanpb.NewGatewayClient(conn).Gather(ctx)
@@ -81,6 +87,16 @@
 	return stream.Recv()
 }
 
+// traced returns a context whose calls carry the span in ctx, if it is recorded.
+func traced(ctx context.Context) context.Context {
+	if !trace.SpanFromContext(ctx).IsRecording() {
+		return ctx
+	}
+	carrier := propagation.MapCarrier{}
+	propagation.TraceContext{}.Inject(ctx, carrier)
+	return metadata.AppendToOutgoingContext(ctx, TraceKey, carrier[TraceKey])
+}
+
 // Retain closes the connections to hosts that are not listed any more.
 func (c *Client) Retain(listed []toucanreader.Peer) {
 	c.mu.Lock()
--- a/toucanstair/toucancommand/trace.go
+++ b/toucanstair/toucantrace/tracing.go
@@ -1,4 +1,6 @@
-package toucancommand
+// Package toucantrace sends the spans of a host to a collector or to standard
+// output.
+package toucantrace
 
 import (
 	"context"
@@ -20,13 +22,23 @@
 // traceFlush bounds the sending of the last spans on shutdown.
 const traceFlush = 2 * time.Second
 
-// tracing returns the tracer provider and the function that sends the last
+// Kinds are the values of Tracing.Kind.
+var Kinds = []string{"none", "stdout", "otlp"}
+
+// Tracing says where spans go and which host they are of.
+type Tracing struct {
+	Kind string // one of Kinds; "" is none
+	Host string
+	Zone string
+}
+
+// Start returns the tracer provider and the function that sends the last
 // spans. The OTLP exporter takes its endpoint from the standard variables
 // OTEL_EXPORTER_OTLP_*, and the sampler from OTEL_TRACES_SAMPLER.
-func tracing(ctx context.Context, s *Settings, out io.Writer) (trace.TracerProvider, func() error, error) {
+func (s Tracing) Start(ctx context.Context, out io.Writer) (trace.TracerProvider, func() error, error) {
 	var exporter sdktrace.SpanExporter
 	var err error
-	switch s.Trace {
+	switch s.Kind {
 	case "stdout":
 		exporter, err = stdouttrace.New(stdouttrace.WithWriter(out))
 	case "otlp":
@@ -35,11 +47,11 @@
 		return noop.NewTracerProvider(), func() error { return nil }, nil
 	}
 	if err != nil {
-		return nil, nil, eris.Wrap(err, "starting the trace exporter "+s.Trace)
+		return nil, nil, eris.Wrap(err, "starting the trace exporter "+s.Kind)
 	}
 	p := sdktrace.NewTracerProvider(sdktrace.WithBatcher(exporter), sdktrace.WithResource(resource.NewSchemaless(
 		attribute.String("service.name", "toucanstair"),
-		attribute.String("service.instance.id", s.Name),
+		attribute.String("service.instance.id", s.Host),
 		attribute.String("cloud.availability_zone", s.Zone),
 	)))
 	// The gRPC and HTTP instrumentation takes the provider from here.
