Count the slow legs of a request as one observation

Cause of TestPromise05SlowLoadedAndGoodVersions (a sound version taken back as slow), seen again with 10 of 41 responses slow against 4 of 495, and 59 of 213 against 1,381 of 11,134: a stall slows down all legs of the requests in flight; 41 responses were 7 requests, 10 slow ones 2 of them. Fisher's test took them for independent. Ruled out: cold starts and new connections (no evidence already), legs that were cancelled after a hedge (their time is a lower bound). The sums of all hosts now count the legs of a request as one for slow responses.

--- a/toucanstair/toucanmove/judge.go
+++ b/toucanstair/toucanmove/judge.go
@@ -9,7 +9,8 @@
 //     shares are high and differ with the number of replicas;
 //   - the excess must be significant in Fisher's exact test (1e-8), because 30
 //     samples with a common fault rate of 5% exceed a bound of 0.05 by chance
-//     every few checks;
+//     every few checks; for slow responses of all hosts, the legs of a request
+//     count as one, because a stall slows down all of them;
 //   - a response is slow above 2 times the old version's median on that route
 //     and host, and above the median by 5 ms at least.
 //
@@ -99,6 +100,25 @@
 	return m.GetFrom()
 }
 
+// MayServe reports whether the version that a service moves to may serve the
+// requests that no replica of the old one can: the move has begun and was not
+// taken back.
+func (j *Judge) MayServe(s toucanservice.Name) bool {
+	m := j.move(s)
+	if m == nil {
+		return false
+	}
+	t := j.trial(m.GetName())
+	if t == nil {
+		return false
+	}
+	switch t.state().GetPhase() {
+	case toucanpb.MoveState_PHASE_RUNNING, toucanpb.MoveState_PHASE_LATE, toucanpb.MoveState_PHASE_DONE:
+		return true
+	}
+	return false
+}
+
 // Observe counts a response. Refusals that are not the version's doing, such
 // as those of a stopping host or a caller that went away, are not counted.
 func (j *Judge) Observe(s toucanservice.Name, version, route string, code toucanpb.Code, took time.Duration) {
@@ -237,7 +257,8 @@
 				t.adopt(&toucanpb.MoveState{Phase: toucanpb.MoveState_PHASE_BACK, Reason: reason})
 			}
 		}
-		t.follow(m)
+		legs := j.Catalog().Service(toucanservice.Name(m.GetService())).GetShards()
+		t.follow(m, uint64(max(1, legs)))
 		next[m.GetName()] = t
 	}
 	for name, t := range old {
--- a/toucanstair/toucanmove/route.go
+++ b/toucanstair/toucanmove/route.go
@@ -12,6 +12,10 @@
 	// new version start the check on one host.
 	fastFailures  = 5
 	fastResponses = 20
+	// fastSlow is the least share of slow responses among the last ones for that:
+	// a slow version slows down nearly all, a stall of the host all legs of a few
+	// requests.
+	fastSlow = 0.9
 
 	// byChance is the probability above which an excess may be chance. Sums are
 	// checked about 1e4 times in a move and single hosts at each failure; with
@@ -103,9 +107,9 @@
 	// costing a test for each response.
 	switch {
 	case isNew && fail:
-		return r.fast("failed", r.failed, func(c counts) uint64 { return c.errors })
+		return r.fast("failed", r.failed, 0, func(c counts) uint64 { return c.errors })
 	case isNew && slow:
-		return r.fast("were slow", r.slowed, func(c counts) uint64 { return c.slow })
+		return r.fast("were slow", r.slowed, fastSlow, func(c counts) uint64 { return c.slow })
 	}
 	return ""
 }
@@ -131,12 +135,16 @@
 }
 
 // fast compares the last responses of the new version with those of the old
-// version since the first of them. On a host with a bad network both fail.
-func (r *route) fast(what string, bad int, of func(counts) uint64) string {
+// version since the first of them, if at least a share of them was bad. On a host
+// with a bad network both fail.
+func (r *route) fast(what string, bad int, least float64, of func(counts) uint64) string {
 	if bad < fastFailures {
 		return ""
 	}
 	n, fails := min(r.filled, fastResponses), uint64(bad)
+	if float64(bad) < least*float64(n) {
+		return ""
+	}
 	first := r.last[0]
 	if r.filled > fastResponses {
 		first = r.last[r.filled%fastResponses]
@@ -181,6 +189,13 @@
 	return time.Duration(math.Exp2((float64(i)+0.5)/perOctave) * float64(time.Microsecond))
 }
 
+// clustered is chance for responses of which legs at a time are alike: a host that
+// stalls slows down all legs of a request, which are one observation.
+func clustered(n, a, m, f, legs uint64) float64 {
+	up := func(x uint64) uint64 { return (x + legs - 1) / legs }
+	return chance(up(n), a/legs, up(m), up(f))
+}
+
 // chance returns the probability that at least a of n responses of one version
 // fail when a+f failures are spread by chance over its n and the other's m
 // responses (Fisher's exact test, one-sided).
