Ask the new version for shards whose old replicas are in zones out of service

The shards were reported missing although a replica of the new version had them. Decided for coverage: a response that may fail serves a caller better than a shard that is surely missing. TestShardOfOutZoneIsAskedOfTheNewVersion fails without the change.

--- a/toucanstair/toucanquery/gather.go
+++ b/toucanstair/toucanquery/gather.go
@@ -41,7 +41,7 @@
 	missing := make([]toucanpb.Code, t.shards)
 	for n := range t.shards {
 		shard := toucanshard.ID(n)
-		zones, code := c.zones(t, shard, serves)
+		t, zones, code := c.plan(t, shard, serves)
 		if code != toucanpb.Code_CODE_UNSPECIFIED {
 			ends <- ending{shard: shard, code: code}
 			continue
--- a/toucanstair/toucanquery/leg.go
+++ b/toucanstair/toucanquery/leg.go
@@ -60,6 +60,27 @@
 	return slices.Concat(classes[:]...), toucanpb.Code_CODE_UNSPECIFIED
 }
 
+// plan returns the zones to ask for a shard, and the task to ask them for. While
+// a service moves, a shard whose only replicas of the old version are in zones out
+// of service is asked of the new version, unless that was taken back: a response
+// that may fail serves the caller better than a shard that is surely missing.
+func (c *Coordinator) plan(t *task, shard toucanshard.ID, serves map[toucanzone.Name][]byte) (*task, []toucanzone.Name, toucanpb.Code) {
+	zones, code := c.zones(t, shard, serves)
+	m := t.catalog.Move(t.service)
+	if code != toucanpb.Code_CODE_OUT || m == nil || t.label != m.GetFrom() || c.Judge == nil || !c.Judge.MayServe(t.service) {
+		return t, zones, code
+	}
+	moved := *t
+	moved.label = m.GetTo()
+	zones, code = c.zones(&moved, shard, serves)
+	if code != toucanpb.Code_CODE_UNSPECIFIED {
+		return t, nil, code
+	}
+	c.log().Info("shard has no replica of the old version in service, asking the new one", zap.String("request", t.request),
+		zap.String("service", string(t.service)), zap.Uint32("shard", uint32(shard)), zap.String("version", m.GetTo()))
+	return &moved, zones, code
+}
+
 // carries reports whether a replica has the version label; all have "".
 func carries(replicas []*toucanpb.Replica, label string) bool {
 	return label == "" || slices.ContainsFunc(replicas, func(r *toucanpb.Replica) bool { return r.GetVersion() == label })
--- a/toucanstair/toucanquery/query.go
+++ b/toucanstair/toucanquery/query.go
@@ -53,6 +53,7 @@
 // so that a leg counts once.
 type judge interface {
 	Version(s toucanservice.Name, request string) string
+	MayServe(s toucanservice.Name) bool
 }
 
 // budget bounds the legs that are sent beside or after another one.
--- a/toucanstair/toucanquery/query_test.go
+++ b/toucanstair/toucanquery/query_test.go
@@ -31,6 +31,7 @@
 	run     func(ctx context.Context, address string, leg *toucanpb.Leg) (*toucanpb.LegResult, error)
 	void    bool
 	label   string
+	back    bool // the move of the service was taken back
 
 	mu    sync.Mutex
 	legs  []*toucanpb.Leg
@@ -67,6 +68,8 @@
 
 func (w *world) Version(toucanservice.Name, string) string { return w.label }
 
+func (w *world) MayServe(toucanservice.Name) bool { return !w.back }
+
 func (w *world) Void(context.Context, toucanservice.Name, string, string) (bool, error) {
 	return w.void, nil
 }
@@ -94,6 +97,30 @@
 	return &toucanquery.Coordinator{Zone: "sierra", Keeper: w, Inventory: w, Cell: w, Link: w, Contacts: w, Judge: w, Claims: w}
 }
 
+// Guards against a shard that is missing while a zone is out, although a replica
+// of the new version has it; and against requests of a version that was taken back.
+func TestShardOfOutZoneIsAskedOfTheNewVersion(t *testing.T) {
+	for back, answered := range map[bool]uint32{false: 1, true: 0} {
+		w := &world{label: "v1", back: back}
+		c := start(w, 1, "sierra", "costa", "oriente")
+		w.catalog = toucancatalog.New(&toucanpb.Rules{
+			Revision: 9,
+			Zones:    []*toucanpb.Zone{{Name: "sierra"}, {Name: "costa", Out: true}},
+			Moves:    []*toucanpb.Move{{Name: "m", Service: "letters", From: "v1", To: "v2"}},
+			Services: []*toucanpb.Service{{
+				Name: "letters", Shards: 1, Routes: []*toucanpb.Route{{Name: "find", TimeoutUs: 2e6}},
+				Replicas: []*toucanpb.Replica{{Id: "old", Zone: "costa", Version: "v1"}, {Id: "new", Zone: "sierra", Version: "v2"}},
+			}},
+		})
+		a, err := c.Search(t.Context(), "r", find("1s"))
+		require.NoError(t, err)
+		require.Equal(t, answered, a.Coverage.Answered)
+		for _, leg := range w.legs {
+			require.Equal(t, "v2", leg.Version)
+		}
+	}
+}
+
 // endWorkers lets the idle workers of a coordinator end, which a bubble waits for.
 func endWorkers() { <-time.After(2 * time.Second) }
 
