--- a/toucanstair/toucanmove/trial.go
+++ b/toucanstair/toucanmove/trial.go
@@ -369,9 +369,13 @@
 		case p.old.answers < min(minSamples, m.GetSamples()):
 			return fmt.Sprintf("route %s has %d responses of the old version at stage %d", name, p.old.answers, t.stage)
 		}
-		for _, c := range [][2]uint64{{p.new.errors, p.old.errors}, {p.new.slow, p.old.slow}} {
-			if float64(c[0])/float64(p.new.answers) > float64(c[1])/float64(p.old.answers)*(1+excessShare)+m.GetBound() {
-				return fmt.Sprintf("route %s is not good enough at stage %d", name, t.stage)
+		for _, c := range []struct {
+			what   string
+			in, is uint64
+		}{{"failed", p.new.errors, p.old.errors}, {"slow", p.new.slow, p.old.slow}} {
+			if float64(c.in)/float64(p.new.answers) > float64(c.is)/float64(p.old.answers)*(1+excessShare)+m.GetBound() {
+				return fmt.Sprintf("route %s is not good enough at stage %d: %d of %d responses %s, %d of %d of the old version",
+					name, t.stage, c.in, p.new.answers, c.what, c.is, p.old.answers)
 			}
 		}
 	}
