--- a/toucanstair/toucanrollout/rollouts.go
+++ b/toucanstair/toucanrollout/rollouts.go
@@ -125,7 +125,7 @@
 	}
 	r.orders[o.Service] = &move{o, now.Add(o.Within)}
 	r.index()
-	r.Log.Info("version on order", zap.String("service", string(o.Service)), zap.String("target version", o.Version),
+	r.Log.Info("version on order", zap.String("service", string(o.Service)), zap.String("to", o.Version),
 		zap.Duration("within", o.Within), zap.Uint64("revision", o.Number))
 }
 
