Hold a version that was taken back on a host that starts after its order is gone

Such a host learnt the state from the store but did not look at it, since no service was moving there. The moves that were taken back are now read without a lock on each request. A newer order of the same version gives it another try. TestVersionThatWasTakenBackStaysAway covers both; it failed before.

--- a/toucanstair/toucanrollout/rollouts.go
+++ b/toucanstair/toucanrollout/rollouts.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -92,9 +93,10 @@
 	catalog atomic.Pointer[toucancatalog.Catalog]
 	moves   atomic.Pointer[map[toucanservice.Name]*move] // replaced as a whole
 
+	back atomic.Pointer[map[toucanservice.Name]State] // moves that were taken back; replaced as a whole
+
 	mu     sync.Mutex
 	orders map[toucanservice.Name]*move
-	back   map[toucanservice.Name]State          // last move of a service that was taken back
 	routes map[toucanservice.Name]map[string]int // responses seen, up to routeLeast
 }
 
@@ -107,7 +109,7 @@
 func (r *Rollouts) init() {
 	r.once.Do(func() {
 		r.orders = make(map[toucanservice.Name]*move)
-		r.back = make(map[toucanservice.Name]State)
+		r.back.Store(&map[toucanservice.Name]State{})
 		r.routes = make(map[toucanservice.Name]map[string]int)
 		r.judge = &toucanmove.Judge{
 			Source: r.Boot, Catalog: r.catalog.Load, Store: states{r}, Leading: r.leads, Wait: wait, Log: r.Log,
@@ -124,6 +126,9 @@
 		return
 	}
 	r.orders[o.Service] = &move{o, now.Add(o.Within)}
+	if back := r.taken(o.Service); back.Version == o.Version && back.Number < o.Number {
+		r.keep(o.Service, State{}) // it is given another try
+	}
 	r.index()
 	r.Log.Info("version on order", zap.String("service", string(o.Service)), zap.String("to", o.Version),
 		zap.Duration("within", o.Within), zap.Uint64("revision", o.Number))
@@ -140,7 +145,7 @@
 		return
 	}
 	if r.phase(m) == toucanpb.MoveState_PHASE_BACK {
-		r.back[s] = State{Service: s, Number: m.Number, Version: m.Version, Phase: toucanpb.MoveState_PHASE_BACK}
+		r.keep(s, State{Number: m.Number, Version: m.Version})
 	}
 	delete(r.orders, s)
 	r.index()
@@ -151,10 +156,10 @@
 func (r *Rollouts) Learn(s State) {
 	r.init()
 	r.mu.Lock()
-	if s.Phase == toucanpb.MoveState_PHASE_BACK && s.Number >= r.back[s.Service].Number {
-		r.back[s.Service] = s
-	}
 	m := r.orders[s.Service]
+	if s.Phase == toucanpb.MoveState_PHASE_BACK && s.Number >= r.taken(s.Service).Number && (m == nil || m.Number <= s.Number) {
+		r.keep(s.Service, s)
+	}
 	if m != nil && m.Number == s.Number && s.Deadline.Before(m.deadline) {
 		r.orders[s.Service] = &move{m.Order, s.Deadline}
 		r.index()
@@ -163,6 +168,21 @@
 	r.judge.Accept(nil, &toucanpb.Gossip{Moves: []*toucanpb.MoveState{s.message()}})
 }
 
+// taken returns the last move of a service that was taken back.
+func (r *Rollouts) taken(s toucanservice.Name) State {
+	if back := r.back.Load(); back != nil {
+		return (*back)[s]
+	}
+	return State{}
+}
+
+// keep notes that a move was taken back; the caller holds mu.
+func (r *Rollouts) keep(service toucanservice.Name, s State) {
+	back := maps.Clone(*r.back.Load())
+	back[service] = s
+	r.back.Store(&back)
+}
+
 // index gives the judge the orders as a configuration; the caller holds mu.
 func (r *Rollouts) index() {
 	rules := &toucanpb.Rules{}
@@ -203,7 +223,7 @@
 func (r *Rollouts) Choose(s toucanservice.Name, request string, again bool) Choice {
 	m := r.move(s)
 	if m == nil {
-		return r.after(s)
+		return Choice{Held: r.taken(s).Version}
 	}
 	if r.judge.Version(s, request) != m.Version {
 		return Choice{Held: m.Version}
@@ -214,16 +234,6 @@
 	return Choice{Only: m.Version}
 }
 
-// after returns the choice for a service without an order.
-func (r *Rollouts) after(s toucanservice.Name) Choice {
-	if r.moves.Load() == nil {
-		return Choice{}
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return Choice{Held: r.back[s].Version}
-}
-
 func (r *Rollouts) phase(m *move) toucanpb.MoveState_Phase {
 	for _, s := range r.judge.Status() {
 		if s.GetName() == m.name() {
--- a/toucanstair/toucanrollout/rollouts_test.go
+++ b/toucanstair/toucanrollout/rollouts_test.go
@@ -270,6 +270,7 @@
 		state := toucanrollout.Decode("moves/s", f.store.values["moves/s"])
 		require.NotNil(t, state)
 		late.Learn(*state)
+		require.Equal(t, toucanrollout.Choice{Held: "v2"}, late.Choose("s", "q", false), "the order was gone before it started")
 		late.Take(order(7), time.Now())
 		for _, r := range append(f.rollouts, late) {
 			r.Withdraw("s")
@@ -277,6 +278,9 @@
 		}
 		late.Take(order(9), time.Now())
 		require.True(t, late.Moving("s"))
+		late.Learn(*state)
+		late.Withdraw("s")
+		require.Equal(t, toucanrollout.Choice{}, late.Choose("s", "q", false), "a new order gives it another try")
 	})
 }
 
