--- a/toucanstair/toucanrollout/rollouts.go
+++ b/toucanstair/toucanrollout/rollouts.go
@@ -38,7 +38,7 @@
 	worseBound = 0.1
 	// samples is the number of responses of the new version on each route that a
 	// move needs.
-	samples = 10
+	samples = 8
 	// routeLeast is the number of responses on a host from which on a route is
 	// compared; a move would wait for samples of a rarer one that never come.
 	routeLeast = 4
