Send a leg elsewhere when a starting host has no configuration yet

The host's log names the cause: a host that had joined its zone 43 ms before, and had no configuration yet, refused two legs as "no configuration in effect"; that code was in none of the lists of refusals after which another host or zone is asked. Ruled out: the stop itself, no response was cut. TestLegOfStartingHostGoesToAnother fails without the change.

--- a/toucanstair/toucancell/cell.go
+++ b/toucanstair/toucancell/cell.go
@@ -310,7 +310,8 @@
 	}
 	switch res.GetCode() {
 	case toucanpb.Code_CODE_REFUSED, toucanpb.Code_CODE_DOWN, toucanpb.Code_CODE_VERSION, toucanpb.Code_CODE_LEASE,
-		toucanpb.Code_CODE_OVERLOAD, toucanpb.Code_CODE_FAILED, toucanpb.Code_CODE_INVALID, toucanpb.Code_CODE_STOPPING:
+		toucanpb.Code_CODE_OVERLOAD, toucanpb.Code_CODE_FAILED, toucanpb.Code_CODE_INVALID, toucanpb.Code_CODE_STOPPING,
+		toucanpb.Code_CODE_CONFIG:
 		return true
 	}
 	return false
--- a/toucanstair/toucanquery/hedge_test.go
+++ b/toucanstair/toucanquery/hedge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -100,6 +101,28 @@
 	}
 }
 
+// Guards against a shard that is missing because a host that has just started,
+// without a configuration yet, was asked for it.
+func TestLegOfStartingHostGoesToAnother(t *testing.T) {
+	for _, starting := range [][]string{{"costa-1"}, {"costa-1", "costa-2"}} {
+		synctest.Test(t, func(t *testing.T) {
+			t.Cleanup(endWorkers)
+			w := &world{}
+			w.run = func(_ context.Context, address string, leg *toucanpb.Leg) (*toucanpb.LegResult, error) {
+				if slices.Contains(starting, address) {
+					return &toucanpb.LegResult{
+						Shard: leg.Shard, Index: leg.Index, Outcome: toucanpb.Outcome_OUTCOME_NOTRUN, Code: toucanpb.Code_CODE_CONFIG,
+					}, nil
+				}
+				return done(leg), nil
+			}
+			a, err := start(w, 1, "costa", "oriente").Search(t.Context(), "r", find("1s"))
+			require.NoError(t, err)
+			require.Equal(t, uint32(1), a.Coverage.Answered, "%v: %v", starting, a.Coverage.Missing)
+		})
+	}
+}
+
 // Guards against hedges and repeats beyond the budget when everything is slow.
 func TestHedgesInOtherZonesStayInBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/toucanstair/toucanquery/leg.go
+++ b/toucanstair/toucanquery/leg.go
@@ -204,7 +204,7 @@
 	case toucanpb.Code_CODE_REFUSED:
 		return r.GetDraining()
 	case toucanpb.Code_CODE_OUT, toucanpb.Code_CODE_LEASE, toucanpb.Code_CODE_STOPPING,
-		toucanpb.Code_CODE_VERSION:
+		toucanpb.Code_CODE_VERSION, toucanpb.Code_CODE_CONFIG:
 		return true
 	}
 	return false
@@ -293,10 +293,11 @@
 }
 
 // cannotServe reports whether a host itself, and not the targets behind it,
-// turned the leg away.
+// turned the leg away: it has no lease, is stopping, or has just started and has
+// no configuration yet.
 func cannotServe(o toucanpb.Outcome, code toucanpb.Code) bool {
 	return o == toucanpb.Outcome_OUTCOME_NOTRUN &&
-		(code == toucanpb.Code_CODE_LEASE || code == toucanpb.Code_CODE_STOPPING)
+		(code == toucanpb.Code_CODE_LEASE || code == toucanpb.Code_CODE_STOPPING || code == toucanpb.Code_CODE_CONFIG)
 }
 
 // refusal turns a failure into a leg's result.
