Read the failure of a leg's first attempt once; name the targets that a leg excludes

When no attempt of a leg is pending, its first attempt that was no hedge has failed, so the hedge's refusal was never returned and the last failure never differed where a zone was left: both are gone from runShard. The three copies of a leg's excluded targets are one method, and a head's size is counted once. No change of behaviour; unit tests of the three packages under the race detector pass.

--- a/toucanstair/toucanforward/leg.go
+++ b/toucanstair/toucanforward/leg.go
@@ -81,7 +81,7 @@
 		return
 	}
 	ts := g.f.Roster.Listed(l.service)
-	need := g.need(l, append(slices.Clone(l.tried), l.refused...))
+	need := g.need(l, l.excluded())
 	t, expect := g.f.Chooser.Choose(ts, need, now)
 	if t == nil {
 		g.again(l, ts, now)
@@ -112,6 +112,9 @@
 	l.wake = at
 }
 
+// excluded returns the targets that a leg is not sent to now.
+func (l *leg) excluded() []toucanreplica.ID { return append(slices.Clone(l.tried), l.refused...) }
+
 // need returns which targets a leg may go to, besides those it was tried at.
 func (g *flight) need(l *leg, tried []toucanreplica.ID) toucanroster.Need {
 	c := g.f.Moves.Choose(l.service, g.entry.id, l.sends > 0)
@@ -169,7 +172,7 @@
 		wait = v.Latency + hedgeSpread*v.Spread
 	}
 	if v.Latency == 0 && g.plan.Due.After(now) {
-		need := g.need(l, append(slices.Clone(l.tried), l.refused...))
+		need := g.need(l, l.excluded())
 		if other, takes := g.f.Chooser.Choose(g.f.Roster.Listed(l.service), need, now); other != nil {
 			wait = min(wait, g.plan.Due.Sub(now)-takes-hedgeSpare)
 		}
@@ -197,7 +200,7 @@
 		return
 	}
 	ts := g.f.Roster.Listed(l.service)
-	need := g.need(l, append(slices.Clone(l.tried), l.refused...))
+	need := g.need(l, l.excluded())
 	t, expect := g.f.Chooser.Choose(ts, need, now)
 	if now.Add(expect).After(g.limit) {
 		return
--- a/toucanstair/toucanguard/guard.go
+++ b/toucanstair/toucanguard/guard.go
@@ -128,9 +128,9 @@
 		if c, ok := r.Context().Value(key{}).(*conn); ok {
 			c.set(serving, 0)
 		}
-		if most := g.Limits().HeaderBytes; most > 0 && headSize(r) > most {
+		if size, most := headSize(r), g.Limits().HeaderBytes; most > 0 && size > most {
 			large.Inc()
-			g.Log.Info("head of a request too large", zap.String("caller", r.RemoteAddr), zap.Int("bytes", headSize(r)), zap.Int("limit", most))
+			g.Log.Info("head of a request too large", zap.String("caller", r.RemoteAddr), zap.Int("bytes", size), zap.Int("limit", most))
 			w.Header().Set("Connection", "close")
 			http.Error(w, "the head of the request is too large", http.StatusRequestHeaderFieldsTooLarge)
 			return
--- a/toucanstair/toucanquery/leg.go
+++ b/toucanstair/toucanquery/leg.go
@@ -121,36 +121,27 @@
 		slow = timer.C
 	}
 	launch(false)
-	var failed, refused ending // of the first attempt that was no hedge, and of the hedge
+	var failed ending // of the first attempt that was no hedge
 	for {
 		select {
 		case e := <-ends:
 			pending--
-			if e.code == toucanpb.Code_CODE_UNSPECIFIED {
+			switch {
+			case e.code == toucanpb.Code_CODE_UNSPECIFIED:
 				c.learn(t.service, time.Since(begin))
 				return e.ending
-			}
-			last := e.ending
-			switch {
 			case !e.extra && failed.result == nil:
 				failed = e.ending
-			case e.extra:
-				refused = e.ending
-				if e.result.GetOutcome() == toucanpb.Outcome_OUTCOME_NOTRUN {
-					zones = append(zones, e.zone)
-				}
-				last = failed
-			}
-			if pending == 0 && last.result != nil && len(zones) > 0 && ctx.Err() == nil && c.mayMove(last) {
-				launch(false)
+			case e.extra && e.result.GetOutcome() == toucanpb.Outcome_OUTCOME_NOTRUN:
+				zones = append(zones, e.zone)
 			}
 			if pending > 0 {
 				continue
 			}
-			if failed.result == nil {
-				return refused
+			if len(zones) == 0 || ctx.Err() != nil || !c.mayMove(failed) {
+				return failed
 			}
-			return failed
+			launch(false)
 		case <-slow:
 			if len(zones) > 0 && c.Budget.Take() {
 				hedges.Inc()
