--- a/toucanstair/toucanfollow/follower_test.go
+++ b/toucanstair/toucanfollow/follower_test.go
@@ -139,7 +139,7 @@
 
 const within = 3 * time.Second
 
-func follow(t *testing.T, s *store) *toucanfollow.Follower {
+func follow(t *testing.T, s toucanfollow.Store) *toucanfollow.Follower {
 	f := &toucanfollow.Follower{
 		Store: s, Decode: decode, Within: within, Self: toucanreader.Peer{ID: "h", Zone: "a"},
 		Mirror: &toucanmirror.Mirror{}, Roster: &toucanroster.Roster{}, Moves: &toucanrollout.Rollouts{}, Log: zap.NewNop(),
@@ -211,13 +211,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newStore()
 		s.put("rules", "1")
-		limited := &pages{store: s, most: 100}
-		f := &toucanfollow.Follower{
-			Store: limited, Decode: decode, Within: within, Self: toucanreader.Peer{ID: "h", Zone: "a"},
-			Mirror: &toucanmirror.Mirror{}, Roster: &toucanroster.Roster{}, Moves: &toucanrollout.Rollouts{}, Log: zap.NewNop(),
-		}
-		ctx, cancel := context.WithCancel(t.Context())
-		end := f.Run(ctx)
+		f := follow(t, &pages{store: s, most: 100})
 		<-time.After(time.Second)
 		s.set(func() { s.down = true })
 		for i := range 1500 {
@@ -228,8 +222,6 @@
 		s.set(func() { s.down = false })
 		<-time.After(within / 2)
 		require.Equal(t, uint64(2), version(f))
-		cancel()
-		require.NoError(t, <-end)
 	})
 }
 
