Make two tests of moves fail without their mechanism

TestVersionOnOrderGetsNothing passed when the held version was ignored: the old targets were known to be fast, so nothing went to the new one anyway. They are slower now. TestRequestsOfFailingNewVersionAreRepeatedAtTheOldOne passed when a repeat was chosen like a first send, since there was one new target; there are two now. Both keep their assertions.

--- a/toucanstair/toucanforward/forwarder_test.go
+++ b/toucanstair/toucanforward/forwarder_test.go
@@ -218,7 +218,14 @@
 // judged.
 func TestVersionOnOrderGetsNothing(t *testing.T) {
 	play(t, func(t *testing.T) {
-		s := newSetting(0, quick)
+		// The targets of the old version are slower, so that only the order keeps
+		// requests from the new one.
+		s := newSetting(0, func(id toucanreplica.ID, _ int) conduct {
+			if id == "new" {
+				return conduct{takes: time.Millisecond}
+			}
+			return conduct{takes: 40 * time.Millisecond}
+		})
 		s.Roster.Put(toucanroster.Entry{ID: "new", Service: "s0", Address: "10.0.0.1:1", Zone: "a", Slots: 2, Version: "v2"}, time.Now())
 		s.orders.first = toucanrollout.Choice{Held: "v2"}
 		s.orders.again = s.orders.first
@@ -236,21 +243,24 @@
 // Guards against a failing new version whose requests fail for the callers, and
 // against evidence that counts for the wrong version.
 func TestRequestsOfFailingNewVersionAreRepeatedAtTheOldOne(t *testing.T) {
+	fresh := map[toucanreplica.ID]bool{"new1": true, "new2": true}
 	play(t, func(t *testing.T) {
 		s := newSetting(0, func(id toucanreplica.ID, _ int) conduct {
-			if id == "new" {
+			if fresh[id] {
 				return conduct{takes: time.Millisecond, status: http.StatusInternalServerError}
 			}
 			return conduct{takes: time.Millisecond}
 		})
-		s.Roster.Put(toucanroster.Entry{ID: "new", Service: "s0", Address: "10.0.0.1:1", Zone: "b", Slots: 2, Version: "v2"}, time.Now())
+		for id := range fresh {
+			s.Roster.Put(toucanroster.Entry{ID: id, Service: "s0", Address: "10.0.0.1:1", Zone: "b", Slots: 2, Version: "v2"}, time.Now())
+		}
 		s.orders.first, s.orders.again = toucanrollout.Choice{Only: "v2"}, toucanrollout.Choice{Held: "v2"}
 		const requests = 3
 		for range requests {
 			w, _ := s.ask(t.Context())
 			require.Equal(t, http.StatusOK, w.Code)
 		}
-		require.Equal(t, requests, s.world.arrived["new"])
+		require.Equal(t, requests, s.world.arrived["new1"]+s.world.arrived["new2"])
 		failed, good := "v2 "+toucanpb.Code_CODE_FAILED.String(), " "+toucanpb.Code_CODE_UNSPECIFIED.String()
 		require.Equal(t, []string{failed, good, failed, good, failed, good}, s.orders.compared)
 	})
