Use the product's own words for zones out of service and limits of targets

Comments, a field, a log message and a line of the load tool's report used words of the users' pages.

--- a/core/toucanspec/replica.go
+++ b/core/toucanspec/replica.go
@@ -34,7 +34,7 @@
 	Spread float64  `json:"spread,omitempty"` // standard deviation of the logarithm
 }
 
-// Warm describes the cold start. A cold replica bears one leg at once; more
+// Warm describes the cold start. A cold replica handles one leg at once; more
 // makes it fall over, unless it sheds. It is warm after Count responses or
 // after Time, whichever comes first of those set; with neither it never is
 // cold.
--- a/toucanload/toucanreport/report.go
+++ b/toucanload/toucanreport/report.go
@@ -214,7 +214,7 @@
 			over++
 		}
 	}
-	fmt.Fprintf(w, "targets   %d, with more work at once than they bear: %d\n", len(worst), over)
+	fmt.Fprintf(w, "targets   %d, over their limit: %d\n", len(worst), over)
 	for _, t := range worst[:min(len(worst), listed)] {
 		fmt.Fprintf(w, "  %-20s peak %d of %d slots, cold %d, overloads %d, falls %d, connections refused %d\n",
 			t.ID, t.Peak, t.Slots, t.PeakCold, t.Overloads, t.Falls, t.Unopened)
--- a/toucanstair/toucanfollow/apply.go
+++ b/toucanstair/toucanfollow/apply.go
@@ -126,7 +126,7 @@
 		} else {
 			delete(out, c.Zone)
 		}
-		f.Log.Info("evacuation changed", zap.String("evacuated", string(c.Zone)), zap.Bool("out", c.Out), zap.Uint64("revision", it.Revision))
+		f.Log.Info("zone taken out or back", zap.String("name", string(c.Zone)), zap.Bool("out", c.Out), zap.Uint64("revision", it.Revision))
 	case c.Order != nil:
 		f.Moves.Take(*c.Order, now)
 	case c.Ended != "":
--- a/toucanstair/toucanfollow/follower.go
+++ b/toucanstair/toucanfollow/follower.go
@@ -81,7 +81,7 @@
 	Rules  *toucanrules.Rules
 	Target *toucanroster.Entry
 	Left   toucanreplica.ID // a target whose entry is gone
-	Zone   toucanzone.Name  // a zone whose evacuation starts or ends
+	Zone   toucanzone.Name  // a zone that is taken out of service or back
 	Out    bool
 	Order  *toucanrollout.Order // a version that requests are to move to; Number is the revision
 	Ended  toucanservice.Name   // a service whose order is gone
--- a/toucanstair/toucanforward/forwarder.go
+++ b/toucanstair/toucanforward/forwarder.go
@@ -201,7 +201,7 @@
 	http.Error(w, why, status)
 }
 
-// part returns this host's part of what the targets of a route bear.
+// part returns this host's part of the limits of a route's targets.
 func (f *Forwarder) part(route *toucanrules.Route) float64 {
 	if route.Fans() {
 		return f.Shared()
--- a/toucanstair/toucanforward/forwarder_test.go
+++ b/toucanstair/toucanforward/forwarder_test.go
@@ -197,7 +197,7 @@
 	})
 }
 
-// Guards against targets of an evacuated zone, or outside the homes of a
+// Guards against targets of a zone out of service, or outside the homes of a
 // route, that get requests.
 func TestZonesAndHomesAreKept(t *testing.T) {
 	play(t, func(t *testing.T) {
@@ -210,7 +210,7 @@
 		}
 		s.route.Homes = []toucanrules.Region{"x"}
 		w, _ = s.ask(t.Context())
-		require.Equal(t, http.StatusServiceUnavailable, w.Code, "the only home is evacuated")
+		require.Equal(t, http.StatusServiceUnavailable, w.Code, "the only home is out of service")
 	})
 }
 
--- a/toucanstair/toucanforward/world_test.go
+++ b/toucanstair/toucanforward/world_test.go
@@ -94,7 +94,7 @@
 	return n
 }
 
-// orders are the rules and evacuated zones that a test sets.
+// orders are the rules and zones out of service that a test sets.
 type orders struct {
 	mu    sync.Mutex
 	rules *toucanrules.Rules
--- a/toucanstair/toucanplace/placer.go
+++ b/toucanstair/toucanplace/placer.go
@@ -1,5 +1,5 @@
 // Package toucanplace decides which hosts gather responses over many shards
-// and how hosts divide what the targets bear. It answers the load of many
+// and how hosts divide the limits of the targets. It answers the load of many
 // small hosts, whose processors would take longer to send to all shards than
 // the shards take to respond.
 package toucanplace
@@ -21,7 +21,7 @@
 	stronger = 2
 	// suspectTime is how long a host that did not answer gets nothing.
 	suspectTime = 3 * time.Second
-	// gatherShare is the part of what the targets bear that is left to the hosts
+	// gatherShare is the part of the targets' limits that is left to the hosts
 	// that gather; the others use the rest when none of those can be reached.
 	gatherShare = 0.65
 )
@@ -115,7 +115,7 @@
 	p.suspects[id] = now.Add(suspectTime)
 }
 
-// Part returns the part of what a target of a sharded service bears, from all
+// Part returns the part of what a target of a sharded service can handle, from all
 // hosts together, that is this host's. Callers are divided among the zones, so a
 // host that is alone in its zone needs more than one of many.
 func (p *Placer) Part() float64 {
--- a/toucanstair/toucanroster/choose.go
+++ b/toucanstair/toucanroster/choose.go
@@ -37,12 +37,12 @@
 
 // Need says which targets of a service a request may go to.
 type Need struct {
-	Homes     []toucanrules.Region     // regions that may serve it; empty: all
-	Evacuated map[toucanzone.Name]bool // zones that get nothing
-	Tried     []toucanreplica.ID       // targets that have got it
-	Held      string                   // version of the software that gets nothing; "": none
-	Only      string                   // version that it goes to if a target of it can be used; "": any
-	ColdRate  float64                  // requests a second that a cold target bears from this host; 0: no limit
+	Homes    []toucanrules.Region     // regions that may serve it; empty: all
+	Out      map[toucanzone.Name]bool // zones that get nothing
+	Tried    []toucanreplica.ID       // targets that have got it
+	Held     string                   // version of the software that gets nothing; "": none
+	Only     string                   // version that it goes to if a target of it can be used; "": any
+	ColdRate float64                  // requests a second that a cold target may get from this host; 0: no limit
 }
 
 // Choose returns the target with the least expected time to respond and that
@@ -96,7 +96,7 @@
 
 func (c *Chooser) allows(t *Target, n Need) bool {
 	switch {
-	case n.Evacuated[t.Zone], slices.Contains(n.Tried, t.ID):
+	case n.Out[t.Zone], slices.Contains(n.Tried, t.ID):
 		return false
 	case n.Held != "" && t.Version == n.Held:
 		return false
--- a/toucanstair/toucanrules/rules.go
+++ b/toucanstair/toucanrules/rules.go
@@ -53,7 +53,7 @@
 	HealthPath  string
 	Connections int // most connections of one target, from all hosts together
 	ColdFor     time.Duration
-	ColdRate    float64 // requests a second that a cold target bears; 0: no limit
+	ColdRate    float64 // requests a second that a cold target can handle; 0: no limit
 }
 
 // Limits bounds what a caller may send.
