--- /dev/null
+++ b/toucanstair/toucanrollout/bench_test.go
@@ -0,0 +1,72 @@
+package toucanrollout_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"toucanstair.example/core/toucanhost"
+	"toucanstair.example/core/toucanpb"
+)
+
+// Measures what the exchange of evidence costs a host while a move is on order,
+// and how long a rollback takes to reach all hosts without the store.
+func BenchmarkExchange(b *testing.B) {
+	const span = 5 * time.Second
+	for _, n := range []int{6, 12, 24, 62, 100} {
+		b.Run(fmt.Sprint("hosts=", n), func(b *testing.B) {
+			for b.Loop() {
+				f := newFleet(n)
+				ctx, cancel := context.WithCancel(context.Background())
+				var ends []<-chan error
+				for _, r := range f.rollouts {
+					ends = append(ends, r.Run(ctx))
+					r.Take(order(7), time.Now())
+				}
+				rng := rand.New(rand.NewPCG(1, 1))
+				began := time.Now()
+				for time.Since(began) < span {
+					for range n {
+						f.ask(rng, f.rollouts[rng.IntN(n)], fmt.Sprint(rng.Uint64()), time.Since(began), sound)
+					}
+					<-time.After(step)
+				}
+				b.ReportMetric(float64(f.bytes.Load())/span.Seconds()/float64(n), "B/s/host")
+				f.store.mu.Lock()
+				f.store.away = func(toucanhost.ID) bool { return true }
+				f.store.mu.Unlock()
+				shown := time.Now()
+				for range 30 {
+					f.rollouts[0].Observe("s", "v1", "broad", toucanpb.Code_CODE_UNSPECIFIED, time.Millisecond)
+				}
+				for range 30 {
+					f.rollouts[0].Observe("s", "v2", "broad", toucanpb.Code_CODE_FAILED, time.Millisecond)
+				}
+				for !f.allHold() {
+					<-time.After(step)
+				}
+				b.ReportMetric(time.Since(shown).Seconds(), "s/rollback")
+				cancel()
+				for _, e := range ends {
+					require.NoError(b, <-e)
+				}
+			}
+		})
+	}
+}
+
+// allHold reports whether no host sends requests to the new version.
+func (f *fleet) allHold() bool {
+	for _, r := range f.rollouts {
+		for i := range 100 {
+			if r.Choose("s", fmt.Sprint(i), false).Only != "" {
+				return false
+			}
+		}
+	}
+	return true
+}
--- a/toucanstair/toucanrollout/rollouts_test.go
+++ b/toucanstair/toucanrollout/rollouts_test.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"toucanstair.example/core/toucanfault"
 	"toucanstair.example/core/toucanhost"
@@ -102,6 +104,7 @@
 	store    *store
 	rollouts []*toucanrollout.Rollouts
 	peers    []toucanreader.Peer
+	bytes    atomic.Int64 // of heartbeats and replies
 	cut      func(from, to toucanhost.ID) bool
 
 	total   int
@@ -119,15 +122,17 @@
 func (w way) Beat(ctx context.Context, address string, r *toucanpb.BeatRequest) (*toucanpb.BeatReply, error) {
 	for i, p := range w.peers {
 		if p.Address == address && (w.cut == nil || !w.cut(w.from, p.ID)) {
-			return w.rollouts[i].Beat(ctx, r)
+			reply, err := w.rollouts[i].Beat(ctx, r)
+			w.bytes.Add(int64(proto.Size(r) + proto.Size(reply)))
+			return reply, err
 		}
 	}
 	return nil, toucanfault.NotRun(toucanpb.Code_CODE_CUT, address)
 }
 
-func newFleet() *fleet {
+func newFleet(n int) *fleet {
 	f := &fleet{store: &store{values: map[string][]byte{}, revs: map[string]uint64{}}}
-	for i := range hosts {
+	for i := range n {
 		id := toucanhost.ID(fmt.Sprint("h", i))
 		p := toucanreader.Peer{ID: id, Zone: "a", Address: string(id)}
 		f.peers = append(f.peers, p)
@@ -155,7 +160,7 @@
 			each(at)
 		}
 		for k := range perStep {
-			r := f.rollouts[rng.IntN(hosts)]
+			r := f.rollouts[rng.IntN(len(f.rollouts))]
 			f.ask(rng, r, fmt.Sprint(seed, "/", n, "/", k), at, fresh)
 		}
 		<-time.After(step)
@@ -198,7 +203,7 @@
 // its deadline.
 func goodIsDone(t *testing.T, seed uint64, prepare func(f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet()
+		f := newFleet(hosts)
 		prepare(f)
 		f.play(t, seed, within, sound, nil)
 		require.Equal(t, toucanrollout.Done, f.store.last(), "seed %d: %s", seed, f.store.values["moves/s"])
@@ -264,7 +269,7 @@
 		for seed := range uint64(10) {
 			t.Run(fmt.Sprint(name, "/", seed), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					f := newFleet()
+					f := newFleet(hosts)
 					f.play(t, seed, within, is, nil)
 					t.Logf("%d of %d requests, %d bad responses, last at %v", f.exposed, f.total, f.bad, f.lastNew)
 					require.LessOrEqual(t, float64(f.exposed), exposureShare*float64(f.total)+exposureSlack, "seed %d", seed)
@@ -283,7 +288,7 @@
 // against one that stays held when it is ordered anew.
 func TestVersionThatWasTakenBackStaysAway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet()
+		f := newFleet(hosts)
 		always := func(*rand.Rand, time.Duration, float64) (bool, time.Duration) { return true, 8 * time.Millisecond }
 		f.play(t, 1, within, always, nil)
 		require.Equal(t, toucanrollout.Back, f.store.last())
