Refuse a request over shards before anything is sent when too few have a target

From second 36 to 38 the hosts start with a list that lacks the targets of many shards. Ruled out: hosts without rules (those answer 503), resets of targets that still count the connections of a former life (the trails show none).

Change: shards without a target count as lost before the first send; where the least coverage can't be reached the answer is 503, it has not run, with Retry-After 0.4 s, since the list is complete 2 s after the store's return.

The test fails before the change: 502 in place of 503. Conclusion: callers learn the truth and come back later; what they get in that window is bound by the list.

--- a/toucanstair/toucanforward/flight.go
+++ b/toucanstair/toucanforward/flight.go
@@ -80,9 +80,15 @@
 	g.ctx, g.cancel = context.WithDeadline(context.WithoutCancel(caller), g.limit.Add(deadlineSpare))
 	defer g.end()
 	now := time.Now()
+	if g.loseUnserved(); g.plan.Verdict(now) == toucangather.Abandon {
+		g.verdict = toucangather.Abandon
+		return
+	}
 	for i := range g.legs {
-		g.f.Quota.Earn(g.legs[i].service)
-		g.start(i, now)
+		if l := &g.legs[i]; !l.lost {
+			g.f.Quota.Earn(l.service)
+			g.start(i, now)
+		}
 	}
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
@@ -106,6 +112,18 @@
 	}
 }
 
+// loseUnserved gives up the legs whose service has no target, so that a request
+// that can't be served is refused before anything is sent.
+func (g *flight) loseUnserved() {
+	for i := range g.legs {
+		l := &g.legs[i]
+		if !g.f.Chooser.Any(g.f.Roster.Listed(l.service), g.need(l, nil)) {
+			l.unserved = true
+			g.lose(l)
+		}
+	}
+}
+
 // drain takes in the responses that are already there, so that a host that is
 // short of processor time sends no second requests for them.
 func (g *flight) drain() {
--- a/toucanstair/toucanforward/forwarder.go
+++ b/toucanstair/toucanforward/forwarder.go
@@ -37,12 +37,14 @@
 	// maxFlights bounds the requests that one host serves at the same time, and
 	// with it the memory they use.
 	maxFlights = 600
-	// pauseUnready, pauseFull and pauseNone say when a caller may return: when
-	// a starting host has rules, when the queues of targets are shorter, and
-	// when a lost target may be back.
-	pauseUnready = 400 * time.Millisecond
-	pauseFull    = 60 * time.Millisecond
-	pauseNone    = 150 * time.Millisecond
+	// pauseUnready, pauseFull, pauseNone and pauseUnlisted say when a caller may
+	// return: when a starting host has rules, when the queues of targets are
+	// shorter, when a lost target may be back, and when the list of targets, which
+	// is complete 2 s after the store returns, has more shards.
+	pauseUnready  = 400 * time.Millisecond
+	pauseFull     = 60 * time.Millisecond
+	pauseNone     = 150 * time.Millisecond
+	pauseUnlisted = 400 * time.Millisecond
 )
 
 type guide interface {
--- a/toucanstair/toucanforward/forwarder_test.go
+++ b/toucanstair/toucanforward/forwarder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -31,6 +32,31 @@
 
 func fate(f toucansend.Fate) *toucansend.Fate { return &f }
 
+// Guards against work for a response that can't reach its least coverage: when the
+// list lacks the targets of too many shards, as after a start, the request is
+// refused before anything is sent.
+func TestRequestThatTooFewShardsCanServeIsNotSent(t *testing.T) {
+	for lacking, status := range map[int]int{1: http.StatusOK, 2: http.StatusServiceUnavailable} {
+		play(t, func(t *testing.T) {
+			s := newSetting(4, func(toucanreplica.ID, int) conduct { return conduct{takes: 5 * time.Millisecond} })
+			for i := range lacking {
+				s.Roster.Drop(toucanreplica.ID(fmt.Sprint("s", i, "a")), time.Now().Add(-time.Hour))
+				s.Roster.Drop(toucanreplica.ID(fmt.Sprint("s", i, "b")), time.Now().Add(-time.Hour))
+			}
+			s.Roster.Sweep(time.Now(), false)
+			w, took := s.ask(t.Context())
+			require.Equal(t, status, w.Code)
+			if status == http.StatusOK {
+				require.Equal(t, "1", w.Header().Get(dialect.Missing))
+				return
+			}
+			require.Zero(t, s.world.sum(s.world.arrived), "it has not run")
+			require.Zero(t, took)
+			require.NotEmpty(t, w.Header().Get("Retry-After"))
+		})
+	}
+}
+
 // Guards against a second send of a request that may have run.
 func TestNonIdempotentRequestIsNotRepeatedWhenItMayHaveRun(t *testing.T) {
 	for _, c := range []conduct{
--- a/toucanstair/toucanforward/leg.go
+++ b/toucanstair/toucanforward/leg.go
@@ -55,19 +55,20 @@
 
 // leg is the part of a request that goes to one service.
 type leg struct {
-	service toucanservice.Name
-	tried   []toucanreplica.ID // may have run it, or have it now
-	refused []toucanreplica.ID // have said that they did not run it
-	arrived bool               // an exchange reached a target
-	busy    bool               // a target was there, but had no room
-	sends   int                // exchanges that began
-	live    int                // exchanges that have not ended
-	done    bool               // its response is there
-	lost    bool               // it is given up
-	wake    time.Time          // when to hedge, or to start again
-	res     *toucansend.Response
-	failure *toucansend.Response // a target's complete failure, the last one
-	unknown bool                 // it may have run without a response
+	service  toucanservice.Name
+	tried    []toucanreplica.ID // may have run it, or have it now
+	refused  []toucanreplica.ID // have said that they did not run it
+	arrived  bool               // an exchange reached a target
+	busy     bool               // a target was there, but had no room
+	sends    int                // exchanges that began
+	live     int                // exchanges that have not ended
+	done     bool               // its response is there
+	lost     bool               // it is given up
+	unserved bool               // its service had no target when the request began
+	wake     time.Time          // when to hedge, or to start again
+	res      *toucansend.Response
+	failure  *toucansend.Response // a target's complete failure, the last one
+	unknown  bool                 // it may have run without a response
 }
 
 // start sends a leg that no target has now, or gives it up.
--- a/toucanstair/toucanforward/respond.go
+++ b/toucanstair/toucanforward/respond.go
@@ -83,7 +83,11 @@
 	}
 	for i := range g.legs {
 		l := &g.legs[i]
-		if l.lost {
+		switch {
+		case !l.lost:
+		case l.unserved && g.route.Fans():
+			return pauseUnlisted, "no target is known of " + string(l.service) + " and too many other shards"
+		default:
 			return pauseNone, "no target of " + string(l.service) + " can be reached"
 		}
 	}
