--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,7 @@
 build:
 	@mkdir -p $(BIN)
 	@for p in $(PROGRAMS); do go build -o $(BIN)/$$p ./$$p || exit 1; done
+	@go build -o $(BIN)/toucanedge ./platform
 
 demo: build
 	$(BIN)/toucandemo --bin $(BIN)
--- a/toucandemo/main.go
+++ b/toucandemo/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"syscall"
 	"time"
 
@@ -13,12 +14,14 @@
 
 	"toucanstair.example/core/toucandeploy"
 	"toucanstair.example/core/toucanlaunch"
+	"toucanstair.example/platform/toucanstage"
 	"toucanstair.example/toucandemo/rules"
+	"toucanstair.example/toucandemo/toucanplatformshow"
 	"toucanstair.example/toucandemo/toucanshow"
 )
 
-// The demonstration as a whole ends within a minute.
-const limit = 60 * time.Second
+// The demonstration as a whole ends within two minutes.
+const limit = 2 * time.Minute
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
@@ -65,5 +68,9 @@
 	launcher := &toucanlaunch.Launcher{}
 	defer launcher.Close()
 	show := &toucanshow.Show{Deployment: toucandeploy.New(plan, launcher, nil), Out: os.Stdout}
-	return show.Run(ctx)
+	if err := show.Run(ctx); err != nil {
+		return err
+	}
+	stage := &toucanstage.Stage{Binary: filepath.Join(bin, "toucanedge"), Dir: dir, Launcher: launcher}
+	return (&toucanplatformshow.Show{Stage: stage, Out: os.Stdout}).Run(ctx)
 }
--- /dev/null
+++ b/toucandemo/toucanplatformshow/show.go
@@ -0,0 +1,126 @@
+// Package toucanplatformshow demonstrates the entry host on the users' platform.
+package toucanplatformshow
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"toucanstair.example/core/toucanfault"
+	"toucanstair.example/core/toucanpb"
+	"toucanstair.example/core/toucantimer"
+	"toucanstair.example/platform/toucanstage"
+)
+
+const (
+	// zoneTime is how soon a zone that was taken out gets nothing, changeTime how
+	// soon hosts know that targets left.
+	zoneTime   = 5 * time.Second
+	changeTime = 4 * time.Second
+	lost       = 4 // the shard whose targets crash
+	questions  = 20
+)
+
+// Show runs the demonstration on a deployment that is not started.
+type Show struct {
+	Stage *toucanstage.Stage
+	Out   io.Writer
+
+	asked int
+}
+
+// Run runs all steps and stops the deployment; it fails when a step did not go as
+// described.
+func (s *Show) Run(ctx context.Context) error {
+	for _, step := range []struct {
+		title string
+		run   func(context.Context) error
+	}{
+		{"Start the platform's store, targets and three entry hosts", s.Stage.Start},
+		{"Ask each host for the records of all shards", s.askAll},
+		{fmt.Sprintf("Crash both targets of shard %d and ask again", lost), s.lose},
+		{"Take zone " + toucanstage.Zones[0] + " out of service and ask again", s.takeOut},
+		{"Let the store refuse all calls and ask again", s.withoutStore},
+		{"Stop the hosts with SIGTERM", s.Stage.Stop},
+	} {
+		began := time.Now()
+		s.say("\n== On the users' platform: %s", step.title)
+		if err := step.run(ctx); err != nil {
+			return wrong(err, "%s", step.title)
+		}
+		s.say("   (%s)", time.Since(began).Round(time.Millisecond))
+	}
+	s.say("\nAll hosts exited with code 0.")
+	return nil
+}
+
+func (s *Show) askAll(ctx context.Context) error { return s.ask(ctx, s.Stage.Shards()) }
+
+// ask asks all hosts, requires a number of shards in each response, and prints the
+// responses.
+func (s *Show) ask(ctx context.Context, want int) error {
+	lines, err := s.responses(ctx, want)
+	for _, line := range lines {
+		s.say("   %s", line)
+	}
+	return err
+}
+
+func (s *Show) responses(ctx context.Context, want int) ([]string, error) {
+	var lines []string
+	for i, name := range s.Stage.Hosts() {
+		s.asked++
+		id := fmt.Sprint("demo-", s.asked)
+		records, in, err := s.Stage.Ask(ctx, i, id)
+		if err != nil {
+			return lines, wrong(err, "host %s", name)
+		}
+		lines = append(lines, fmt.Sprintf("%-9s %s: %d of %d shards, greatest records %v", name, id, in, s.Stage.Shards(), records))
+		if in != want {
+			return lines, wrong(nil, "host %s answers with %d shards, not %d", name, in, want)
+		}
+	}
+	return lines, nil
+}
+
+func (s *Show) lose(ctx context.Context) error {
+	if err := s.Stage.Crash(lost); err != nil {
+		return err
+	}
+	toucantimer.Wait(ctx, changeTime)
+	return s.ask(ctx, s.Stage.Shards()-1)
+}
+
+func (s *Show) takeOut(ctx context.Context) error {
+	zone := toucanstage.Zones[0]
+	if err := s.Stage.TakeOut(zone); err != nil {
+		return err
+	}
+	toucantimer.Wait(ctx, zoneTime)
+	before := s.Stage.Ran(zone)
+	for range questions {
+		if _, err := s.responses(ctx, s.Stage.Shards()-1); err != nil {
+			return err
+		}
+	}
+	if after := s.Stage.Ran(zone); after != before {
+		return wrong(nil, "targets of zone %s ran %d requests", zone, after-before)
+	}
+	s.say("   targets of zone %s ran none of %d requests", zone, questions*len(s.Stage.Hosts()))
+	return s.ask(ctx, s.Stage.Shards()-1)
+}
+
+func (s *Show) withoutStore(ctx context.Context) error {
+	s.Stage.SetStoreBusy(true)
+	defer s.Stage.SetStoreBusy(false)
+	toucantimer.Wait(ctx, changeTime)
+	return s.ask(ctx, s.Stage.Shards()-1)
+}
+
+func (s *Show) say(format string, args ...any) { fmt.Fprintf(s.Out, format+"\n", args...) }
+
+// wrong says which step did not go as described; cause may be nil.
+func wrong(cause error, format string, args ...any) error {
+	return (&toucanfault.Error{Code: toucanpb.Code_CODE_FAILED, Detail: fmt.Sprintf(format, args...)}).Because(cause)
+}
