--- a/toucanstair/toucanentry/entry.go
+++ b/toucanstair/toucanentry/entry.go
@@ -57,8 +57,11 @@
 	// that are used; the rest is for hosts that start again with full buckets.
 	slackShare = 0.9
 	ratioShare = 0.95
-	// shareTime is how often the number of hosts is looked at.
-	shareTime = time.Second
+	// shareTime is how often the number of hosts is looked at, and shareFirst how
+	// often in the first settleTime, in which the list of hosts comes.
+	shareTime  = time.Second
+	shareFirst = 50 * time.Millisecond
+	settleTime = 3 * time.Second
 )
 
 // Settings says where a host runs and what bounds it.
@@ -200,8 +203,12 @@
 // and go; update takes in which ones are there.
 func (e *Entry) share(ctx context.Context, q *toucanquota.Quota, p *toucanplace.Placer, update func()) <-chan error {
 	end := make(chan error, 1)
+	began := time.Now()
 	go func() {
-		for toucantimer.Wait(ctx, shareTime) {
+		for every := shareFirst; toucantimer.Wait(ctx, every); {
+			if time.Since(began) > settleTime {
+				every = shareTime
+			}
 			update()
 			e.divide(q, p)
 		}
