Divide the allowance of a new version among the hosts that the settings assume

A host that knows no others yet, or is cut off from all, counted itself as the only one and took all 25 requests of the allowance; six such hosts would have passed the operators' 50. Found on reading. The test fails before the change: 25 requests in place of at most 8.

--- a/toucanstair/toucanentry/entry.go
+++ b/toucanstair/toucanentry/entry.go
@@ -126,7 +126,7 @@
 	gateways := &toucangateway.Client{}
 	rollouts := &toucanrollout.Rollouts{
 		Self: self, Boot: s.Name + toucanhost.ID("/"+strconv.FormatUint(rand.Uint64(), 36)),
-		Store: e.Store, Exchange: gateways, Log: e.Log,
+		Store: e.Store, Exchange: gateways, Hosts: s.Hosts, Log: e.Log,
 	}
 	follower := &toucanfollow.Follower{
 		Store: e.Store, Decode: e.Decode, Self: self, Within: s.Within, Mirror: mirror, Roster: roster, Moves: rollouts, Log: e.Log,
--- a/toucanstair/toucanrollout/rollouts.go
+++ b/toucanstair/toucanrollout/rollouts.go
@@ -82,6 +82,7 @@
 	Boot     toucanhost.ID // of this process; differs after a restart
 	Store    Store
 	Peers    func() []toucanreader.Peer
+	Hosts    int // hosts that are assumed while fewer are listed
 	Exchange Exchanger
 	Log      *zap.Logger
 
@@ -233,21 +234,23 @@
 	return Choice{Only: m.Version}
 }
 
-// Begin counts a request that is being sent to a target of a version.
+// Begin counts a request that is being sent to a target, if that is of the new
+// version.
 func (r *Rollouts) Begin(s toucanservice.Name, version, route string) {
 	if m := r.move(s); m != nil && version == m.Version {
 		m.exposure.begin(route)
 	}
 }
 
-// End counts a request that Begin counted and says whether it reached the target.
+// End counts a request that was given to Begin, if it reached the target.
 func (r *Rollouts) End(s toucanservice.Name, version, route string, reached bool) {
 	if m := r.move(s); m != nil {
 		m.exposure.end(route, version == m.Version, reached)
 	}
 }
 
-// hosts returns the number of hosts that send requests, this one included.
+// hosts returns the number of hosts that share the allowance of the new version,
+// this one included.
 func (r *Rollouts) hosts() int {
 	n := 1
 	for _, p := range r.Peers() {
@@ -255,7 +258,7 @@
 			n++
 		}
 	}
-	return n
+	return max(n, r.Hosts)
 }
 
 func (r *Rollouts) phase(m *move) toucanpb.MoveState_Phase {
--- a/toucanstair/toucanrollout/rollouts_test.go
+++ b/toucanstair/toucanrollout/rollouts_test.go
@@ -362,3 +362,29 @@
 	}
 	require.Equal(t, toucanrollout.Choice{}, r.Choose("other", "broad", "q", false))
 }
+
+// Guards against a host that knows no others yet, or is cut off from all, and takes
+// the whole allowance of the new version for itself.
+func TestAllowanceIsDividedBeforeHostsAreListed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1)
+		r := f.rollouts[0]
+		r.Hosts = hosts
+		ctx, cancel := context.WithCancel(t.Context())
+		end := r.Run(ctx)
+		r.Take(order(7), time.Now())
+		<-time.After(within / 2)
+		fresh := 0
+		for i := range 1000 {
+			if r.Choose("s", "broad", fmt.Sprint(i), false).Only == "" {
+				continue
+			}
+			fresh++
+			r.Begin("s", "v2", "broad")
+		}
+		require.Positive(t, fresh)
+		require.LessOrEqual(t, fresh, exposureSlack/hosts)
+		cancel()
+		require.NoError(t, <-end)
+	})
+}
