Take up changed settings without a signal

The platform may change the settings file without SIGHUP; the bounds on repeats were then those of the start until the next one. The file is read again each 5 s; only changes, new failures and signals are logged. The test fails without the reading.

--- a/toucanstair/toucanentry/entry.go
+++ b/toucanstair/toucanentry/entry.go
@@ -57,6 +57,9 @@
 	// that are used; the rest is for hosts that start again with full buckets.
 	slackShare = 0.9
 	ratioShare = 0.95
+	// reloadTime is how often the settings are read again, since they may change
+	// without a signal.
+	reloadTime = 5 * time.Second
 	// shareTime is how often the number of hosts is looked at, and shareFirst how
 	// often in the first settleTime, in which the list of hosts comes.
 	shareTime  = time.Second
@@ -107,6 +110,7 @@
 
 	stopping atomic.Bool
 	repeats  atomic.Pointer[Repeats] // as last read
+	unread   string                  // why the settings could not be read last time; "": they were
 }
 
 // Run serves until a signal asks it to stop, and returns nil when no request
@@ -224,18 +228,25 @@
 }
 
 // reload takes in the bounds on repeats; addresses, bounds on time and memory
-// are those of the start. Settings that can't be used change nothing.
-func (e *Entry) reload() {
+// are those of the start. Settings that can't be used change nothing. Without a
+// signal, only news are logged.
+func (e *Entry) reload(signalled bool) {
 	if e.Reload == nil {
 		return
 	}
 	s, err := e.Reload()
 	if err != nil {
-		e.Log.Warn("settings not reloaded, the former ones stay", zap.Error(err))
+		if signalled || e.unread != err.Error() {
+			e.Log.Warn("settings not reloaded, the former ones stay", zap.Bool("signal", signalled), zap.Error(err))
+		}
+		e.unread = err.Error()
 		return
 	}
-	e.repeats.Store(&s.Repeats)
-	e.Log.Info("settings reloaded", zap.Float64("ratio", s.Repeats.Ratio), zap.Float64("slack", s.Repeats.Slack))
+	e.unread = ""
+	if old := e.repeats.Swap(&s.Repeats); signalled || *old != s.Repeats {
+		e.Log.Info("settings reloaded", zap.Bool("signal", signalled),
+			zap.Float64("ratio", s.Repeats.Ratio), zap.Float64("slack", s.Repeats.Slack))
+	}
 }
 
 // servePeers serves the other hosts until ctx ends.
@@ -269,11 +280,15 @@
 
 // wait returns nil when a signal asks for a stop, or the failure of a listener.
 func (e *Entry) wait(ctx context.Context, signals <-chan os.Signal, ends <-chan error) error {
+	again := time.NewTicker(reloadTime)
+	defer again.Stop()
 	for {
 		select {
+		case <-again.C:
+			e.reload(false)
 		case sig := <-signals:
 			if sig == syscall.SIGHUP {
-				e.reload()
+				e.reload(true)
 				continue
 			}
 			e.Log.Info("stop asked for", zap.String("signal", sig.String()))
--- a/toucanstair/toucanentry/entry_test.go
+++ b/toucanstair/toucanentry/entry_test.go
@@ -2,12 +2,19 @@
 
 import (
 	"context"
+	"os"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
+	"toucanstair.example/core/toucanfault"
+	"toucanstair.example/core/toucanpb"
 	"toucanstair.example/toucanstair/toucanplace"
 	"toucanstair.example/toucanstair/toucanquota"
 	"toucanstair.example/toucanstair/toucanreader"
@@ -25,10 +32,11 @@
 		e.repeats.Store(&Repeats{Ratio: 0.2, Slack: 52})
 		p := &toucanplace.Placer{Self: toucanreader.Peer{ID: "a-1", Zone: "a", Power: 400}, Least: 6}
 		p.Update(nil)
-		alone, updates := p.Part(), 0
+		alone := p.Part()
+		var updates atomic.Int64
 		ctx, cancel := context.WithCancel(t.Context())
 		end := e.share(ctx, &toucanquota.Quota{}, p, func() {
-			updates++
+			updates.Add(1)
 			if time.Since(began) >= listed {
 				p.Update([]toucanreader.Peer{{ID: "b-1", Zone: "b", Power: 400}, {ID: "b-2", Zone: "b", Power: 400}})
 			}
@@ -36,10 +44,50 @@
 		<-time.After(listed + soon)
 		require.Greater(t, p.Part(), 2*alone, "half of what all hosts may use, as its zone has")
 		<-time.After(2 * settleTime)
-		before := updates
+		before := updates.Load()
 		<-time.After(10 * time.Second)
-		require.Equal(t, 10, updates-before, "once a second")
+		synctest.Wait()
+		require.EqualValues(t, 10, updates.Load()-before, "once a second")
 		cancel()
 		require.NoError(t, <-end)
 	})
 }
+
+// Guards against settings that change without a signal and are not taken up, against
+// settings that can't be read and replace sound ones, and against a line in the log
+// each time they are read.
+func TestSettingsAreReadAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		core, logs := observer.New(zap.InfoLevel)
+		var file atomic.Pointer[Repeats] // nil: it can't be read
+		file.Store(&Repeats{Ratio: 0.2, Slack: 52})
+		e := &Entry{Log: zap.New(core), Reload: func() (Settings, error) {
+			if now := file.Load(); now != nil {
+				return Settings{Repeats: *now}, nil
+			}
+			return Settings{}, toucanfault.NotRun(toucanpb.Code_CODE_INVALID, "line 3: no value")
+		}}
+		e.repeats.Store(&Repeats{Ratio: 0.2, Slack: 52})
+		signals, ended := make(chan os.Signal), make(chan error, 1)
+		go func() { ended <- e.wait(t.Context(), signals, nil) }()
+		<-time.After(3 * reloadTime)
+		require.Zero(t, logs.Len(), "nothing changed")
+
+		changed := Repeats{Ratio: 0.1, Slack: 20}
+		file.Store(&changed)
+		<-time.After(3 * reloadTime)
+		require.Equal(t, changed, *e.repeats.Load())
+		require.Len(t, logs.TakeAll(), 1)
+
+		file.Store(nil)
+		<-time.After(3 * reloadTime)
+		require.Equal(t, changed, *e.repeats.Load())
+		require.Len(t, logs.TakeAll(), 1)
+		signals <- syscall.SIGHUP
+		synctest.Wait()
+		require.Len(t, logs.TakeAll(), 1, "an answer to the signal")
+
+		signals <- syscall.SIGTERM
+		require.NoError(t, <-ended)
+	})
+}
