--- a/integration/leave_test.go
+++ b/integration/leave_test.go
@@ -140,6 +140,7 @@
 // and against legs in flight that are cut off then: one replica of each shard
 // is removed under load with work times of 50 ms.
 func TestPromise09RemovedFromConfiguration(t *testing.T) {
+	passOverKnown(t)
 	b := newBed(t)
 	b.slow(50 * time.Millisecond)
 	folder := &rules{bed: b, left: map[string]bool{}}
