Plan a leg again when a newer configuration refused it

A host with the newer one refuses a leg as not run (zone out, shard or version not there), and the sender reported the shard as missing.

Change: the refusal carries the refusing host's revision. If it is newer, dispatcher and coordinator wait for that revision (at most 600 ms and half of the leg's time) and plan the leg again, unless the number of shards differs; if it is older, the leg goes to another owner or contact.

--- a/toucanstair/toucancommand/host.go
+++ b/toucanstair/toucancommand/host.go
@@ -60,6 +60,7 @@
 	peerServer        *toucanpeer.Server
 	announcer         *announcer
 	coordinator       *toucanquery.Coordinator
+	releasedView      uint64 // last view passed to releaseView, which only the limiter's goroutine calls
 }
 
 // newHost creates the components and connects them to each other; start runs them.
@@ -83,7 +84,7 @@
 	h.canary.SourceID = toucanhost.ID(h.membership.Self().GetId())
 	h.limiter.Membership = h.membership
 	h.limiter.CurrentView = func() uint64 { return h.membership.View().Number() }
-	h.limiter.OnViewReleased = h.membership.SetReleasedView
+	h.limiter.OnViewReleased = h.releaseView
 	h.claims = &toucanclaim.Registry{Store: h.store, WriteRate: float64(s.ClaimWriteRate), Log: log}
 	h.dispatcher = &toucandispatch.Dispatcher{
 		Zone: h.zone, Membership: h.membership, Configuration: h.syncer, PeerLink: h.peerClient, Limiter: h.limiter,
@@ -129,6 +130,16 @@
 	return &net.TCPAddr{IP: net.ParseIP(source)}
 }
 
+// releaseView reports to the other hosts that nothing is in flight on slots that this
+// host lost up to a view. Its connections to their replicas are closed before.
+func (h *host) releaseView(view uint64) {
+	if view > h.releasedView {
+		h.dispatcher.CloseUnowned()
+		h.releasedView = view
+	}
+	h.membership.SetReleasedView(view)
+}
+
 // dial returns a client of the host at an address.
 func (h *host) dial(address string) (toucanpb.PeerClient, error) {
 	conn, err := h.peerClient.Conn(address)
--- a/toucanstair/toucanconfig/syncer.go
+++ b/toucanstair/toucanconfig/syncer.go
@@ -77,6 +77,7 @@
 	announcements map[string]announcement
 	peerRevisions map[string]peerRevision // by member ID
 	wake          chan struct{}           // tells Run that there are announcements; capacity 1
+	changed       chan struct{}           // closed when another revision is in effect; nil if nobody waits
 }
 
 // peerRevision is a revision that a peer reported, and the time when it was
@@ -126,6 +127,29 @@
 // Catalog returns the configuration in effect, or nil if there is none.
 func (s *Syncer) Catalog() *toucancatalog.Catalog { return s.catalog.Load() }
 
+// AwaitRevision waits until a revision or a later one is in effect and returns its
+// catalog, or nil if ctx ends first.
+func (s *Syncer) AwaitRevision(ctx context.Context, revision uint64) *toucancatalog.Catalog {
+	for {
+		s.mu.Lock()
+		c := s.catalog.Load()
+		if c != nil && c.Revision() >= revision {
+			s.mu.Unlock()
+			return c
+		}
+		if s.changed == nil {
+			s.changed = make(chan struct{})
+		}
+		changed := s.changed
+		s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
 // Status returns the active revision, its source and age, and the latest
 // refusal.
 func (s *Syncer) Status() Status {
@@ -334,6 +358,10 @@
 	s.active = activeConfig{head: head, sum: toucanhead.Sum(head), folder: folder, blobs: blobs, previousBlobs: s.active.blobs}
 	s.confirmedAt, s.source = time.Now(), source
 	s.catalog.Store(toucancatalog.New(rules))
+	if s.changed != nil {
+		close(s.changed)
+		s.changed = nil
+	}
 	s.log().Info("configuration in effect", zap.Uint64("revision", head.GetRevision()),
 		zap.String("change", toucanhead.ChangeID(head)), zap.String("source", source))
 	return true
--- a/toucanstair/toucandispatch/dispatcher.go
+++ b/toucanstair/toucandispatch/dispatcher.go
@@ -38,6 +38,10 @@
 	onceGrace = 300 * time.Millisecond
 	// voidTimeout bounds the store calls that void the claim of a lost peer's leg.
 	voidTimeout = time.Second
+	// maxConfigurationWait is how long a leg that was refused by a newer configuration
+	// waits for it: one heartbeat interval of 500 ms, in which the host learns of the
+	// revision, and the transfer. It is also bounded by half of the leg's time left.
+	maxConfigurationWait = 600 * time.Millisecond
 )
 
 var (
@@ -53,9 +57,13 @@
 	LeaseHeld() bool
 }
 
-// Configuration returns the catalog in effect, or nil if there is none.
+// Configuration is the configuration of this host; toucanconfig.Syncer implements it.
 type Configuration interface {
+	// Catalog returns the catalog in effect, or nil if there is none.
 	Catalog() *toucancatalog.Catalog
+	// AwaitRevision waits until a revision or a later one is in effect and returns its
+	// catalog, or nil if ctx ends first.
+	AwaitRevision(ctx context.Context, revision uint64) *toucancatalog.Catalog
 }
 
 // PeerLink runs a leg at another host; toucanpeerlink.Client implements it.
@@ -130,6 +138,7 @@
 type legRun struct {
 	dispatcher *Dispatcher
 	leg        *toucanpb.Leg
+	revision   uint64 // of the configuration that the leg was planned with
 	candidates []*toucanpb.Replica
 	criteria   toucanselector.Criteria
 	slots      int
@@ -141,24 +150,64 @@
 
 // Run runs a leg in this zone. It returns the first valid result, or a result with a
 // code when no attempt is left or when ctx or the leg's timeout ends, for a
-// non-idempotent leg up to onceGrace later.
+// non-idempotent leg up to onceGrace later. A leg that an owner refused by a newer
+// configuration is planned again when this host has that configuration, too.
 func (d *Dispatcher) Run(ctx context.Context, leg *toucanpb.Leg) *toucanpb.LegResult {
-	r, fault := d.plan(leg)
-	if fault != nil {
-		return failedResult(leg, fault)
-	}
 	ctx, cancel := withLegTimeout(ctx, leg)
 	defer cancel() // also cancels attempts that are still running
 	legs.Inc()
-	if !r.startNext(ctx, leg.GetExtra()) {
-		return r.noReplicaResult()
+	var sent uint32
+	for planned := false; ; planned = true {
+		catalog := d.Configuration.Catalog()
+		r, fault := d.plan(leg, catalog)
+		if fault != nil {
+			res := failedResult(leg, fault)
+			res.Map, res.Sent = refusingRevision(fault, catalog), sent
+			return res
+		}
+		r.sent = sent
+		if !r.startNext(ctx, leg.GetExtra()) {
+			return r.noReplicaResult()
+		}
+		if !planned && !leg.GetExtra() && len(r.candidates) > 1 {
+			// A leg with one candidate cannot be hedged here; it counts in the budget
+			// of toucanquery.Coordinator.
+			d.Budget.Deposit()
+		}
+		res := r.wait(ctx)
+		if !d.awaitConfiguration(ctx, r.revision, res) {
+			return res
+		}
+		sent = res.GetSent()
+	}
+}
+
+// awaitConfiguration reports whether a leg that was planned with a revision was refused
+// by a newer one that is now in effect here, too.
+func (d *Dispatcher) awaitConfiguration(ctx context.Context, revision uint64, res *toucanpb.LegResult) bool {
+	if res.GetOutcome() != toucanpb.Outcome_OUTCOME_NOTRUN || res.GetMap() <= revision {
+		return false
+	}
+	wait := maxConfigurationWait
+	if deadline, ok := ctx.Deadline(); ok {
+		wait = min(wait, time.Until(deadline)/2)
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	return d.Configuration.AwaitRevision(ctx, res.GetMap()) != nil
+}
+
+// refusingRevision returns the revision of a catalog if the failure of a leg follows
+// from the configuration, so that another revision may permit the leg, and otherwise 0.
+func refusingRevision(f *toucanfault.Error, c *toucancatalog.Catalog) uint64 {
+	if c == nil || f.Outcome != toucanpb.Outcome_OUTCOME_NOTRUN {
+		return 0
 	}
-	if !leg.GetExtra() && len(r.candidates) > 1 {
-		// A leg with one candidate cannot be hedged here; it counts in the budget
-		// of toucanquery.Coordinator.
-		d.Budget.Deposit()
+	switch f.Code {
+	case toucanpb.Code_CODE_OUT, toucanpb.Code_CODE_UNKNOWN, toucanpb.Code_CODE_VERSION:
+		return c.Revision()
 	}
-	return r.wait(ctx)
+	return 0
 }
 
 // withLegTimeout returns a context with the timeout of the leg, if it has one.
@@ -171,8 +220,7 @@
 
 // plan selects the candidate replicas of a leg. It fails if the zone or this host
 // cannot run the leg.
-func (d *Dispatcher) plan(leg *toucanpb.Leg) (*legRun, *toucanfault.Error) {
-	catalog := d.Configuration.Catalog()
+func (d *Dispatcher) plan(leg *toucanpb.Leg, catalog *toucancatalog.Catalog) (*legRun, *toucanfault.Error) {
 	if catalog == nil {
 		return nil, toucanfault.NotRun(toucanpb.Code_CODE_CONFIG, "no configuration in effect")
 	}
@@ -195,7 +243,7 @@
 		return nil, toucanfault.NotRun(toucanpb.Code_CODE_VERSION, "no replica of the old version in the zone")
 	}
 	return &legRun{
-		dispatcher: d, leg: leg, candidates: candidates,
+		dispatcher: d, leg: leg, revision: catalog.Revision(), candidates: candidates,
 		criteria: toucanselector.Criteria{Index: leg.GetIndex(), Version: version},
 		slots:    int(max(1, service.GetSlots())),
 		results:  make(chan attemptResult, maxAttempts),
@@ -327,6 +375,9 @@
 		toucanpb.Code_CODE_OVERLOAD, toucanpb.Code_CODE_FAILED, toucanpb.Code_CODE_INVALID, toucanpb.Code_CODE_STOPPING,
 		toucanpb.Code_CODE_CONFIG:
 		return true
+	case toucanpb.Code_CODE_UNKNOWN:
+		// The replica was removed from the owner's configuration, or is not in it yet.
+		return res.GetMap() != 0
 	}
 	return false
 }
--- a/toucanstair/toucandispatch/dispatcher_test.go
+++ b/toucanstair/toucandispatch/dispatcher_test.go
@@ -38,12 +38,22 @@
 	self, owner *toucanpb.Member
 	lease       atomic.Bool
 	catalog     *toucancatalog.Catalog
+	newer       *toucancatalog.Catalog // in effect once it is waited for; nil: none arrives
 }
 
 func (z *zone) Self() *toucanpb.Member          { return z.self }
 func (z *zone) LeaseHeld() bool                 { return z.lease.Load() }
 func (z *zone) Catalog() *toucancatalog.Catalog { return z.catalog }
 
+func (z *zone) AwaitRevision(ctx context.Context, _ uint64) *toucancatalog.Catalog {
+	if z.newer == nil {
+		<-ctx.Done()
+		return nil
+	}
+	z.catalog = z.newer
+	return z.catalog
+}
+
 func (z *zone) Owner(toucanreplica.ID, int) (*toucanpb.Member, bool) { return z.owner, true }
 
 func (z *zone) MayUse(toucanreplica.ID, int) bool { return z.owner == z.self }
@@ -52,8 +62,9 @@
 
 // target counts the requests that it executed, unless respond handles them.
 type target struct {
-	executed atomic.Int64
-	respond  func(w http.ResponseWriter, r *http.Request) bool
+	executed    atomic.Int64
+	connections atomic.Int64 // open ones
+	respond     func(w http.ResponseWriter, r *http.Request) bool
 }
 
 func (t *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -82,7 +93,16 @@
 	for i := range shards * n {
 		fakeTarget := &target{respond: respond}
 		f.targets = append(f.targets, fakeTarget)
-		server := httptest.NewServer(fakeTarget)
+		server := httptest.NewUnstartedServer(fakeTarget)
+		server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+			switch state {
+			case http.StateNew:
+				fakeTarget.connections.Add(1)
+			case http.StateClosed:
+				fakeTarget.connections.Add(-1)
+			}
+		}
+		server.Start()
 		t.Cleanup(server.Close)
 		s.Replicas = append(s.Replicas, &toucanpb.Replica{
 			Id: fmt.Sprint("r", i), Shard: uint32(i / n), Zone: "z", Address: server.Listener.Addr().String(), Version: "v1",
@@ -156,6 +176,73 @@
 	require.Equal(t, int64(1), f.targets[1].executed.Load())
 }
 
+// newerPeerLink is a link to an owner with configuration revision 6, which has only
+// the replica r9.
+type newerPeerLink struct{ refusals atomic.Int64 }
+
+func (l *newerPeerLink) Do(_ context.Context, _ string, leg *toucanpb.Leg) (*toucanpb.LegResult, error) {
+	if leg.GetReplica() == "r9" {
+		return &toucanpb.LegResult{Shard: leg.GetShard(), Index: leg.GetIndex(), Outcome: toucanpb.Outcome_OUTCOME_DONE}, nil
+	}
+	l.refusals.Add(1)
+	return &toucanpb.LegResult{Shard: leg.GetShard(), Outcome: toucanpb.Outcome_OUTCOME_NOTRUN, Code: toucanpb.Code_CODE_UNKNOWN, Map: 6}, nil
+}
+
+// Guards against a leg that fails because the owner has a newer configuration, without
+// the replica, than the host that selected it.
+func TestLegRefusedByNewerConfigurationIsPlannedAgain(t *testing.T) {
+	catalog := func(revision uint64, replica string) *toucancatalog.Catalog {
+		return toucancatalog.New(&toucanpb.Rules{Revision: revision, Services: []*toucanpb.Service{{
+			Name: "s", Shards: 1, Slots: 1, Replicas: []*toucanpb.Replica{{Id: replica, Zone: "z", Address: "127.0.0.1:1"}},
+		}}})
+	}
+	z := &zone{self: &toucanpb.Member{Id: "h0", Zone: "z"}, owner: &toucanpb.Member{Id: "h1"}, catalog: catalog(5, "r0")}
+	link := &newerPeerLink{}
+	d := newDispatcher(t, z, link)
+	l := newLeg(0)
+	l.TimeoutUs = 100_000
+	res := d.Run(t.Context(), l)
+	require.Equal(t, toucanpb.Outcome_OUTCOME_NOTRUN, res.GetOutcome(), "the newer configuration does not arrive")
+	require.EqualValues(t, 6, res.GetMap())
+	z.newer = catalog(6, "r9")
+	res = d.Run(t.Context(), l)
+	require.Equal(t, toucanpb.Outcome_OUTCOME_DONE, res.GetOutcome(), res.GetDetail())
+	require.EqualValues(t, 2, link.refusals.Load())
+}
+
+// Guards against refusals that do not tell the revision that they follow from, and
+// against other failures that do.
+func TestRefusalsTellTheirRevision(t *testing.T) {
+	f := newFixture(t, 1, 1, nil)
+	rules := f.zone.catalog.Rules()
+	rules.Revision = 5
+	rules.Zones = []*toucanpb.Zone{{Name: "z"}}
+	f.zone.catalog = toucancatalog.New(rules)
+	l := newLeg(0)
+	l.Replica = "removed"
+	require.EqualValues(t, 5, f.Serve(t.Context(), l).GetMap())
+	require.EqualValues(t, 5, f.Run(t.Context(), newLeg(9)).GetMap())
+	f.zone.lease.Store(false)
+	l.Replica = "r0"
+	require.Zero(t, f.Serve(t.Context(), l).GetMap())
+	rules.Zones[0].Out = true
+	require.EqualValues(t, 5, f.Run(t.Context(), newLeg(0)).GetMap())
+}
+
+// Guards against connections that outlive the ownership of a replica's slots: with the
+// next owner's connection there are two to a replica in cold start.
+func TestConnectionsAreClosedWithTheLastSlot(t *testing.T) {
+	f := newFixture(t, 1, 1, nil)
+	require.Equal(t, toucanpb.Outcome_OUTCOME_DONE, f.Run(t.Context(), newLeg(0)).GetOutcome())
+	open := func() int { return int(f.targets[0].connections.Load()) }
+	require.Equal(t, 1, open())
+	f.CloseUnowned()
+	require.Equal(t, 1, open(), "the slot is still owned")
+	f.zone.owner = &toucanpb.Member{Id: "h1"}
+	f.CloseUnowned()
+	require.Eventually(t, func() bool { return open() == 0 }, 5*time.Second, time.Millisecond)
+}
+
 // Guards against hedges and retries above 5% of the legs plus 20 when everything is
 // slow or fails, and against results that count too few requests.
 func TestExtraLoadIsBounded(t *testing.T) {
--- a/toucanstair/toucandispatch/health.go
+++ b/toucanstair/toucandispatch/health.go
@@ -50,16 +50,12 @@
 	}
 	var group errgroup.Group
 	group.SetLimit(maxConcurrentPolls)
-	owned := make(map[string]bool)
 	for _, s := range catalog.Rules().GetServices() {
 		for _, r := range s.GetReplicas() {
 			id := toucanreplica.ID(r.GetId())
 			if toucanzone.Name(r.GetZone()) != d.Zone {
 				continue
 			}
-			if d.maxConnections(id, s) > 0 {
-				owned[r.GetAddress()] = true
-			}
 			if !d.isLeader(id) && !d.Limiter.IsLeaderless(id) || !d.isSilent(id) {
 				continue
 			}
@@ -70,6 +66,26 @@
 		}
 	}
 	_ = group.Wait() // the functions return nil
+	d.CloseUnowned()
+}
+
+// CloseUnowned closes the idle connections to replicas of which this host owns no slot.
+// Connections in use close when their request ends. Called before the slots of an older
+// view count as released, it keeps the next owner's connection to a cold replica the
+// only one.
+func (d *Dispatcher) CloseUnowned() {
+	catalog := d.Configuration.Catalog()
+	if catalog == nil {
+		return
+	}
+	owned := make(map[string]bool)
+	for _, s := range catalog.Rules().GetServices() {
+		for _, r := range s.GetReplicas() {
+			if toucanzone.Name(r.GetZone()) == d.Zone && d.maxConnections(toucanreplica.ID(r.GetId()), s) > 0 {
+				owned[r.GetAddress()] = true
+			}
+		}
+	}
 	d.Exchange.Retain(func(address string) bool { return owned[address] })
 }
 
--- a/toucanstair/toucandispatch/owner.go
+++ b/toucanstair/toucandispatch/owner.go
@@ -95,8 +95,8 @@
 }
 
 // runAttempt runs a leg at an owner of the replica. An owner that has no usable slot,
-// is stopping or was not reached has sent nothing; trying the next owner then adds
-// no load on the target and takes no token of the budget.
+// is stopping, has an older configuration or was not reached has sent nothing; trying
+// the next owner then adds no load on the target and takes no token of the budget.
 func (d *Dispatcher) runAttempt(ctx context.Context, leg *toucanpb.Leg, id toucanreplica.ID, slots int, extra bool) (*toucanpb.LegResult, resultSource) {
 	o := d.ownersOfReplica(id)
 	var buffer [4]string
@@ -116,7 +116,7 @@
 			res, source = d.runAtPeer(ctx, m, ownerLeg)
 		}
 		unreached := source == fromNoOwner && res.GetCode() == toucanpb.Code_CODE_DOWN
-		unavailable := source == fromOwner && (res.GetCode() == toucanpb.Code_CODE_LEASE || res.GetCode() == toucanpb.Code_CODE_STOPPING)
+		unavailable := source == fromOwner && (res.GetCode() == toucanpb.Code_CODE_LEASE || res.GetCode() == toucanpb.Code_CODE_STOPPING || d.isBehind(res))
 		o.recordResult(m.GetId(), res, unavailable || unreached)
 		if !unavailable && !unreached || res.GetOutcome() != toucanpb.Outcome_OUTCOME_NOTRUN || ctx.Err() != nil {
 			return res, source
@@ -129,6 +129,12 @@
 	return res, fromNoOwner
 }
 
+// isBehind reports whether an owner refused a leg by an older configuration than this
+// host's.
+func (d *Dispatcher) isBehind(res *toucanpb.LegResult) bool {
+	return res.GetMap() != 0 && res.GetMap() < d.Configuration.Catalog().Revision()
+}
+
 // legForOwner returns a copy of leg that addresses a replica and a slot.
 func legForOwner(leg *toucanpb.Leg, id toucanreplica.ID, slot int, extra bool) *toucanpb.Leg {
 	return &toucanpb.Leg{
--- a/toucanstair/toucandispatch/serve.go
+++ b/toucanstair/toucandispatch/serve.go
@@ -12,6 +12,7 @@
 	"toucanstair.example/core/toucanreplica"
 	"toucanstair.example/core/toucanservice"
 	"toucanstair.example/core/toucanzone"
+	"toucanstair.example/toucanstair/toucancatalog"
 	"toucanstair.example/toucanstair/toucanclaim"
 	"toucanstair.example/toucanstair/toucanexchange"
 )
@@ -47,15 +48,18 @@
 // the error is nil; otherwise it holds what is known of the attempt.
 func (d *Dispatcher) runAsOwner(ctx context.Context, leg *toucanpb.Leg) (*toucanpb.LegResult, error) {
 	res := &toucanpb.LegResult{Number: leg.GetNumber(), Shard: leg.GetShard(), Index: leg.GetIndex(), Replica: leg.GetReplica()}
-	replica, service, err := d.admit(leg)
-	if err != nil {
-		return res, err
+	catalog := d.Configuration.Catalog()
+	replica, service, fault := d.admit(leg, catalog)
+	if fault != nil {
+		res.Map = refusingRevision(fault, catalog)
+		return res, fault
 	}
 	id := toucanreplica.ID(replica.GetId())
 	ctx, cancel := withLegTimeout(ctx, leg)
 	defer cancel()
 	permit, err := d.Limiter.Acquire(ctx, id)
 	if err != nil {
+		res.Map = refusingRevision(asFault(err), d.Configuration.Catalog())
 		return res, err
 	}
 	defer permit.Cancel() // no effect after Done
@@ -89,8 +93,7 @@
 
 // admit makes the checks that need no slot, and returns the replica and service of
 // the leg.
-func (d *Dispatcher) admit(leg *toucanpb.Leg) (*toucanpb.Replica, *toucanpb.Service, error) {
-	catalog := d.Configuration.Catalog()
+func (d *Dispatcher) admit(leg *toucanpb.Leg, catalog *toucancatalog.Catalog) (*toucanpb.Replica, *toucanpb.Service, *toucanfault.Error) {
 	if catalog == nil {
 		return nil, nil, toucanfault.NotRun(toucanpb.Code_CODE_CONFIG, "no configuration in effect")
 	}
--- a/toucanstair/toucanquery/coordinator.go
+++ b/toucanstair/toucanquery/coordinator.go
@@ -39,9 +39,13 @@
 	ShardsByZone(toucanservice.Name, *toucancatalog.Catalog, uint64) map[toucanzone.Name][]byte
 }
 
-// configuration returns the catalog in effect, or nil if there is none.
+// configuration is the configuration of this host; toucanconfig.Syncer implements it.
 type configuration interface {
+	// Catalog returns the catalog in effect, or nil if there is none.
 	Catalog() *toucancatalog.Catalog
+	// AwaitRevision waits until a revision or a later one is in effect and returns its
+	// catalog, or nil if ctx ends first.
+	AwaitRevision(ctx context.Context, revision uint64) *toucancatalog.Catalog
 }
 
 // legRunner runs legs in this host's zone; toucandispatch.Dispatcher implements it.
--- a/toucanstair/toucanquery/coordinator_test.go
+++ b/toucanstair/toucanquery/coordinator_test.go
@@ -28,6 +28,7 @@
 // run runs the legs of its own zone (address "") and of the hosts of other zones.
 type fakeCluster struct {
 	catalog    *toucancatalog.Catalog
+	newer      *toucancatalog.Catalog // in effect once it is waited for; nil: none arrives
 	run        func(ctx context.Context, address string, leg *toucanpb.Leg) (*toucanpb.LegResult, error)
 	voids      bool   // result of Void
 	version    string // result of VersionFor
@@ -40,6 +41,14 @@
 
 func (f *fakeCluster) Catalog() *toucancatalog.Catalog { return f.catalog }
 
+func (f *fakeCluster) AwaitRevision(ctx context.Context, _ uint64) *toucancatalog.Catalog {
+	if f.newer == nil {
+		<-ctx.Done()
+		return nil
+	}
+	return f.newer
+}
+
 func (f *fakeCluster) Pin(toucanservice.Name, *toucancatalog.Catalog) (uint64, error) {
 	return pinnedIndex, nil
 }
--- a/toucanstair/toucanquery/gather.go
+++ b/toucanstair/toucanquery/gather.go
@@ -49,7 +49,7 @@
 		// A leg that is still running at the time of the response is cancelled by ctx;
 		// its result fits in the buffer of the channel, so the worker does not block.
 		shardCodes[n] = toucanpb.Code_CODE_TIMEOUT
-		c.workers.Go(func() { results <- c.runShard(ctx, t, shard, index, zones) })
+		c.workers.Go(func() { results <- c.runPlannedShard(ctx, t, shard, index, zones) })
 	}
 
 	merger := toucanmerge.New(int(t.limit))
--- a/toucanstair/toucanquery/leg.go
+++ b/toucanstair/toucanquery/leg.go
@@ -123,10 +123,12 @@
 	}
 	launch(false)
 	var firstFailure shardResult // of the attempts that are not hedges
+	var refusedBy uint64         // newest configuration revision that refused an attempt
 	for {
 		select {
 		case e := <-results:
 			pending--
+			refusedBy = max(refusedBy, e.legResult.GetMap())
 			switch {
 			case e.code == toucanpb.Code_CODE_UNSPECIFIED:
 				c.recordLatency(t.service, time.Since(begin))
@@ -140,6 +142,7 @@
 				continue
 			}
 			if len(zones) == 0 || ctx.Err() != nil || !c.mayFailOver(firstFailure) {
+				firstFailure.legResult.Map = refusedBy
 				return firstFailure
 			}
 			launch(false)
@@ -245,8 +248,8 @@
 }
 
 // runRemote tries the zone's contacts in turn. It goes on to the next one only if the
-// leg did not run at the one before, or if that one was lost and the leg is
-// idempotent; such a retry takes a token of the budget. The retry is not marked as
+// leg did not run at the one before, which is unavailable or has an older
+// configuration, or if that one was lost and the leg is idempotent; such a retry takes a token of the budget. The retry is not marked as
 // extra, because a cold replica must not refuse the only remaining attempt.
 func (c *Coordinator) runRemote(ctx context.Context, z toucanzone.Name, leg *toucanpb.Leg) *toucanpb.LegResult {
 	hosts := c.Contacts.Contacts(z)
@@ -255,7 +258,8 @@
 	for _, m := range hosts[:min(len(hosts), maxContacts)] {
 		result, err := c.PeerLink.Do(ctx, m.GetAddress(), leg)
 		if err == nil {
-			if ctx.Err() != nil || !hostUnavailable(result.GetOutcome(), result.GetCode()) {
+			behind := result.GetMap() != 0 && result.GetMap() < leg.GetMap()
+			if ctx.Err() != nil || !behind && !hostUnavailable(result.GetOutcome(), result.GetCode()) {
 				return result
 			}
 			last = toucanfault.NotRun(result.GetCode(), result.GetDetail())
--- a/toucanstair/toucanquery/once.go
+++ b/toucanstair/toucanquery/once.go
@@ -29,7 +29,7 @@
 	}
 	leg := t.leg(shard, 0)
 	results := make(chan *toucanpb.LegResult, 1)
-	go func() { results <- c.runWithFailover(ctx, t, shard, zones) }()
+	go func() { results <- c.runPlannedOnce(ctx, t, shard, zones) }()
 	var r *toucanpb.LegResult
 	select {
 	case r = <-results:
