Turn panics of workers, calls and legs into errors

Cause: nothing recovered outside net/http's handlers, so one malformed message or one defect ended the process.

Change: toucanpanic counts a panic and returns it with its stack. TestPanicEndsOnlyItsFunction ended the test process before.

--- a/toucanstair/toucancommand/host.go
+++ b/toucanstair/toucancommand/host.go
@@ -91,7 +91,7 @@
 		Selector: newSelector(s), Budget: &toucanhedge.Budget{}, Exchange: &toucanexchange.Client{},
 		Claims: h.claims, Canary: h.canary, Inventory: h.inventory, Baseline: !s.Hedge, Log: log,
 	}
-	h.peerServer = &toucanpeer.Server{Runner: countedRunner{h.dispatcher, drainer}, Membership: h.membership, Fetcher: h}
+	h.peerServer = &toucanpeer.Server{Runner: countedRunner{h.dispatcher, drainer}, Membership: h.membership, Fetcher: h, Log: log}
 	h.coordinator = &toucanquery.Coordinator{
 		Zone: h.zone, Configuration: h.syncer, Inventory: h.inventory, Local: h.dispatcher, PeerLink: h.peerClient, Contacts: h.membership,
 		Canary: h.canary, Claims: h.claims, Drainer: drainer, Log: log,
--- a/toucanstair/toucanpeer/server.go
+++ b/toucanstair/toucanpeer/server.go
@@ -13,11 +13,13 @@
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
+	"go.uber.org/zap"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/keepalive"
 
 	"toucanstair.example/core/toucanfault"
 	"toucanstair.example/core/toucanpb"
+	"toucanstair.example/toucanstair/toucanpanic"
 	"toucanstair.example/toucanstair/toucanworker"
 )
 
@@ -65,6 +67,7 @@
 	Membership  Membership
 	Fetcher     Fetcher
 	MaxInFlight int // limit for the legs in flight on one stream, default 4096
+	Log         *zap.Logger
 
 	runningLegs atomic.Int64
 	workers     toucanworker.Pool
@@ -85,6 +88,13 @@
 	return s.Fetcher.Fetch(ctx, r)
 }
 
+func (s *Server) log() *zap.Logger {
+	if s.Log == nil {
+		return zap.NewNop()
+	}
+	return s.Log
+}
+
 // RunningLegs returns the number of legs in flight for other hosts.
 func (s *Server) RunningLegs() int { return int(s.runningLegs.Load()) }
 
@@ -238,11 +248,15 @@
 	}
 	ctx, span := otel.Tracer("toucanpeer").Start(ctx, "leg", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
-	var result *toucanpb.LegResult
+	run := s.Runner.Serve
 	if leg.GetReplica() == "" {
-		result = s.Runner.Run(ctx, leg)
-	} else {
-		result = s.Runner.Serve(ctx, leg)
+		run = s.Runner.Run
+	}
+	var result *toucanpb.LegResult
+	if panicked := toucanpanic.Call(func() { result = run(ctx, leg) }); panicked != nil {
+		fault := toucanfault.Unknown(toucanpb.Code_CODE_INTERNAL, panicked.Error())
+		result = &toucanpb.LegResult{Outcome: fault.Outcome, Code: fault.Code, Detail: fault.Detail}
+		s.log().Error("leg panicked", zap.String("request", leg.GetQueryId()), zap.Error(panicked), zap.ByteString("stack", panicked.Stack))
 	}
 	if result == nil {
 		fault := toucanfault.Unknown(toucanpb.Code_CODE_INTERNAL, "no result for the leg")
--- a/toucanstair/toucanregistration/registrar.go
+++ b/toucanstair/toucanregistration/registrar.go
@@ -12,6 +12,7 @@
 	"toucanstair.example/core/toucanhost"
 	"toucanstair.example/core/toucantimer"
 	"toucanstair.example/core/toucanzone"
+	"toucanstair.example/toucanstair/toucanpanic"
 	"toucanstair.example/toucanstair/toucansource"
 )
 
@@ -73,7 +74,10 @@
 	go func() {
 		lease := Lease("")
 		for toucantimer.Wait(ctx, r.pause(lease)) {
-			lease = r.renewOrRegister(ctx, lease)
+			// After a panic the lease is tried again.
+			if panicked := toucanpanic.Call(func() { lease = r.renewOrRegister(ctx, lease) }); panicked != nil {
+				r.Log.Error("registration panicked", zap.Error(panicked), zap.ByteString("stack", panicked.Stack))
+			}
 		}
 		end <- r.deregister(context.WithoutCancel(ctx), lease)
 	}()
--- a/toucanstair/toucanworker/worker.go
+++ b/toucanstair/toucanworker/worker.go
@@ -2,8 +2,12 @@
 package toucanworker
 
 import (
+	"fmt"
+	"os"
 	"sync"
 	"time"
+
+	"toucanstair.example/toucanstair/toucanpanic"
 )
 
 // idleTimeout is how long a worker waits for its next function before it ends. It is
@@ -22,7 +26,8 @@
 }
 
 // Go runs f on an idle worker, or on a new one when none is idle, and returns at once.
-// It does not signal when f has returned; f does that itself if needed.
+// It does not signal when f has returned; f does that itself if needed. A panic of f is
+// counted and written to standard error.
 func (p *Pool) Go(f func()) {
 	p.once.Do(func() { p.tasks = make(chan func()) })
 	select {
@@ -36,7 +41,10 @@
 	timer := time.NewTimer(idleTimeout)
 	defer timer.Stop()
 	for {
-		f()
+		if err := toucanpanic.Call(f); err != nil {
+			// f should recover itself and report its failure. The log is not known here.
+			fmt.Fprintf(os.Stderr, "worker: %v\n%s", err, err.Stack)
+		}
 		timer.Reset(idleTimeout)
 		select {
 		case f = <-p.tasks:
--- a/toucanstair/toucanworker/worker_test.go
+++ b/toucanstair/toucanworker/worker_test.go
@@ -50,3 +50,18 @@
 		require.Equal(t, before, runtime.NumGoroutine())
 	})
 }
+
+// Guards against a panic in one function that ends the process.
+func TestPanicEndsOnlyItsFunction(t *testing.T) {
+	var p toucanworker.Pool
+	var all sync.WaitGroup
+	for range 20 {
+		all.Add(2)
+		p.Go(func() {
+			defer all.Done()
+			panic("a defect")
+		})
+		p.Go(all.Done)
+	}
+	all.Wait()
+}
