Bound the responses of targets and recognize late copies of them

Cause: a response's head had no limit, and a body of 8 MiB for each of 135 shards is more than a host's memory.

Change: a head is read up to 16 KiB, a body up to 8 MiB or the request's own limit, and what exceeds 2 KiB is reserved from a quota of the process until the response was used.

Cause: a copy of a response that arrives late and bears no id was taken for the answer to the next request. Change: it is skipped if the target has echoed ids on the connection or if its signature is that of an earlier request. A connection with a refusal without an id carries no request that must not run twice.

A HEAD response with Content-Length failed as possibly run; it has no body to read.

--- a/toucanstair/toucantransport/pool.go
+++ b/toucanstair/toucantransport/pool.go
@@ -54,9 +54,22 @@
 type conn struct {
 	net.Conn
 	r           *bufio.Reader
-	unused      bool          // no response was read from it yet
-	idleTimeout time.Duration // after which the target closes an idle connection
+	limit       *limitedReader // below r
+	unused      bool           // no response was read from it yet
+	idleTimeout time.Duration  // after which the target closes an idle connection
 	lastUsed    time.Time
+	previous    exchanged // the last exchange
+	echoesID    bool      // a success on it had the id of its request
+}
+
+// exchanged is what is known of the last exchange of a connection, to recognize a late
+// copy of its response.
+type exchanged struct {
+	id        string // of the request
+	signature string // of the response
+	// anonymousRefusal says that the response was a refusal without the id of its request.
+	// A copy of it cannot be told from the refusal of the next request.
+	anonymousRefusal bool
 }
 
 // setIdleTimeout sets the idle timeout from a Keep-Alive header.
@@ -169,20 +182,27 @@
 func (p *pool) acquire(ctx context.Context, r *Request) (*conn, FailureKind, error) {
 	now := time.Now()
 	p.mu.Lock()
+	var skipped []*conn
 	for len(p.idle) > 0 {
 		c := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
+		if r.FreshConnection && c.previous.anonymousRefusal {
+			skipped = append(skipped, c)
+			continue
+		}
 		maxIdle := c.idleTimeout - idleMargin
 		if r.FreshConnection {
 			maxIdle = min(maxIdle, maxFreshIdle)
 		}
 		if idle := now.Sub(c.lastUsed); idle < maxIdle && (idle < skipProbeWithin && !r.FreshConnection || c.usable()) {
+			p.idle = append(p.idle, skipped...)
 			p.mu.Unlock()
 			return c, 0, nil
 		}
 		p.open--
 		c.Close()
 	}
+	p.idle = append(p.idle, skipped...)
 	if maxOpen := p.limit(r.MaxConnections, now); maxOpen > 0 && p.open >= maxOpen {
 		p.mu.Unlock()
 		return nil, ConnectionLimitReached, errConnectionLimit
@@ -205,7 +225,8 @@
 		}
 		return nil, Unreachable, err
 	}
-	return &conn{Conn: c, r: bufio.NewReaderSize(c, readBufferBytes), unused: true}, 0, nil
+	limit := &limitedReader{r: c}
+	return &conn{Conn: c, r: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, unused: true}, 0, nil
 }
 
 // hasIdle reports whether there is an idle connection that has not timed out.
--- a/toucanstair/toucantransport/transport.go
+++ b/toucanstair/toucantransport/transport.go
@@ -3,7 +3,6 @@
 package toucantransport
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -17,11 +16,10 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"toucanstair.example/core/toucanreplica"
+	"toucanstair.example/toucanstair/toucanquota"
 )
 
 const (
-	// maxBodyBytes bounds a response body, which is kept in memory.
-	maxBodyBytes = 8 << 20
 	// maxStrayResponses bounds the responses to earlier requests that are skipped.
 	maxStrayResponses = 4
 	// maxInterimResponses bounds the 1xx responses before the final one.
@@ -37,6 +35,8 @@
 	earlyResponses = metrics.NewCounter("toucan_send_early_responses_total")
 	// strayResponses counts responses to earlier requests.
 	strayResponses = metrics.NewCounter("toucan_send_stray_responses_total")
+	// oversizedResponses counts responses that were cut off at a limit.
+	oversizedResponses = metrics.NewCounter("toucan_send_oversized_responses_total")
 )
 
 // Headers holds the names of the headers in requests to targets and in their
@@ -51,6 +51,7 @@
 	ColdRemaining  string // remaining cold start of the target, in milliseconds
 	PartSignatures string // signatures in a merged response
 	MissingShards  string // shards missing from a merged response
+	Leaving        string // set by a target that is about to leave
 
 	// ParseLoad returns the number of waiting requests in the value of a Load header,
 	// and whether the value is valid.
@@ -68,6 +69,8 @@
 	FreshConnection bool
 	// DialTimeout bounds the dialing of a new connection.
 	DialTimeout time.Duration
+	// MaxBodyBytes bounds the body of the response, to at most 8 MiB, which is the default.
+	MaxBodyBytes int64
 }
 
 // Message is the part of a request that is the same for all targets it is sent to.
@@ -109,6 +112,16 @@
 	Status int
 	Header http.Header
 	Body   []byte
+
+	memory *reservation
+}
+
+// Release returns the memory of the response to the transport's quota. The response
+// must not be used afterwards. It is safe to call it again, and on nil.
+func (r *Response) Release() {
+	if r != nil && r.memory != nil {
+		r.memory.release()
+	}
 }
 
 // FailureKind says what is known of a request that got no response.
@@ -140,10 +153,13 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Cause }
 
-// Transport sends requests to targets over pooled connections. Headers is set before
-// use.
+// Transport sends requests to targets over pooled connections. The exported fields are
+// set before use.
 type Transport struct {
 	Headers Headers
+	// Memory limits the bytes of all responses that are being read or were not released
+	// yet; nil means no limit.
+	Memory *toucanquota.Quota
 
 	pools pools
 }
@@ -158,18 +174,26 @@
 		return nil, &Error{kind, err}
 	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
+	memory := &reservation{quota: t.Memory}
+	c.limit.memory = memory
 	res, reuse, err := t.roundTrip(c, r, timeLeft)
+	c.limit.memory = nil
 	if !stop() || err != nil || !reuse {
 		p.discard(c)
 	} else {
 		p.release(c)
 	}
 	if err != nil {
+		memory.release()
 		if c.unused && errors.Is(err, syscall.ECONNRESET) {
 			p.reduceLimit()
 		}
+		if errors.Is(err, errTooLarge) || errors.Is(err, errNoMemory) {
+			oversizedResponses.Inc()
+		}
 		return nil, &Error{MaybeExecuted, err}
 	}
+	res.memory = memory
 	return res, nil
 }
 
@@ -227,6 +251,7 @@
 var (
 	errNoFinalResponse = constError("only interim responses or responses to other requests arrived")
 	errTooLarge        = constError("the response is larger than the limit")
+	errNoMemory        = constError("the responses in memory have reached the limit")
 	errConnectionLimit = constError("the limit of connections to the target is reached")
 )
 
@@ -236,12 +261,16 @@
 func (e constError) Error() string { return string(e) }
 
 // readResponse returns the response to r and whether the connection can be reused.
-// Responses with another id belong to earlier requests and are skipped.
+// Responses to earlier requests are skipped.
 func (t *Transport) readResponse(c *conn, r *Request) (*Response, bool, error) {
 	request := &http.Request{Method: r.Message.Method}
+	maxBytes := int64(maxBodyBytes)
+	if r.MaxBodyBytes > 0 {
+		maxBytes = min(maxBytes, r.MaxBodyBytes)
+	}
 	skipped, interim := 0, 0
 	for skipped < maxStrayResponses && interim < maxInterimResponses {
-		res, last, err := readNext(c.r, request)
+		res, last, err := readNext(c, request, maxBytes)
 		if err != nil {
 			return nil, false, err
 		}
@@ -249,7 +278,7 @@
 			interim++
 			continue
 		}
-		if id := res.Header.Get(t.Headers.RequestID); id != "" && id != r.Message.ID {
+		if t.isStray(c, r, res) {
 			strayResponses.Inc()
 			if last {
 				return nil, false, errNoFinalResponse
@@ -258,35 +287,68 @@
 			continue
 		}
 		c.setIdleTimeout(res.Header.Get("Keep-Alive"))
-		return res, !last && c.r.Buffered() == 0, nil
+		t.recordExchange(c, r, res)
+		// A copy of a refusal would answer the same request if it were sent again here.
+		refused := r.FreshConnection && t.isRefusal(res)
+		return res, !last && c.r.Buffered() == 0 && !refused, nil
 	}
 	return nil, false, errNoFinalResponse
 }
 
+// isStray reports whether a response belongs to an earlier request of the connection: it
+// has another id, or none although the target echoes ids, or it repeats the signature of
+// the response to another request.
+func (t *Transport) isStray(c *conn, r *Request, res *Response) bool {
+	id, signature := res.Header.Get(t.Headers.RequestID), res.Header.Get(t.Headers.Signature)
+	switch {
+	case id != "":
+		return id != r.Message.ID
+	case res.Status/100 == 2 && c.echoesID:
+		return true
+	}
+	return signature != "" && signature == c.previous.signature && c.previous.id != r.Message.ID
+}
+
+// recordExchange records what isStray and acquire need to know of a response.
+func (t *Transport) recordExchange(c *conn, r *Request, res *Response) {
+	id := res.Header.Get(t.Headers.RequestID)
+	if id != "" && res.Status/100 == 2 {
+		c.echoesID = true
+	}
+	c.previous = exchanged{id: r.Message.ID, signature: res.Header.Get(t.Headers.Signature), anonymousRefusal: id == "" && t.isRefusal(res)}
+}
+
+// isRefusal reports whether a response says that the target did not run the request.
+func (t *Transport) isRefusal(res *Response) bool {
+	return res.Status == http.StatusMisdirectedRequest || res.Header.Get(t.Headers.NotExecuted) != ""
+}
+
 // readNext returns the next response, and whether it is the last one of its
 // connection.
-func readNext(r *bufio.Reader, request *http.Request) (*Response, bool, error) {
-	res, err := http.ReadResponse(r, request)
+func readNext(c *conn, request *http.Request, maxBytes int64) (*Response, bool, error) {
+	c.limit.startHead()
+	res, err := http.ReadResponse(c.r, request)
 	if err != nil {
-		return nil, false, err
+		return nil, false, c.limit.cause(err)
 	}
 	defer res.Body.Close()
-	body, err := readBody(res)
-	return &Response{res.StatusCode, res.Header, body}, res.Close, err
+	c.limit.startBody(maxBytes)
+	body, err := readBody(res, request, maxBytes)
+	return &Response{Status: res.StatusCode, Header: res.Header, Body: body}, res.Close, c.limit.cause(err)
 }
 
-func readBody(res *http.Response) ([]byte, error) {
-	if res.ContentLength > maxBodyBytes {
-		return nil, errTooLarge
-	}
-	if n := res.ContentLength; n >= 0 {
-		b := make([]byte, n)
-		_, err := io.ReadFull(res.Body, b)
-		return b, err
-	}
-	b, err := io.ReadAll(io.LimitReader(res.Body, maxBodyBytes+1))
-	if len(b) > maxBodyBytes {
+func readBody(res *http.Response, request *http.Request, maxBytes int64) ([]byte, error) {
+	n := res.ContentLength
+	switch {
+	case request.Method == http.MethodHead || n == 0:
+		return nil, nil
+	case n > maxBytes:
 		return nil, errTooLarge
+	case n < 0 || n > preallocatedBytes:
+		// A length that the target only claims allocates no memory.
+		return io.ReadAll(res.Body)
 	}
+	b := make([]byte, n)
+	_, err := io.ReadFull(res.Body, b)
 	return b, err
 }
--- a/toucanstair/toucantransport/transport_test.go
+++ b/toucanstair/toucantransport/transport_test.go
@@ -262,3 +262,24 @@
 	close(hold)
 	require.NoError(t, <-first)
 }
+
+// resetAfter starts a target that answers the first request with a text and, once the
+// host has read it, resets the connection.
+func resetAfter(t *testing.T, text string) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		_, _ = http.ReadRequest(bufio.NewReader(c))
+		_, _ = c.Write([]byte(text))
+		timer := time.NewTimer(50 * time.Millisecond) // a reset discards what was not read yet
+		<-timer.C
+		_ = c.(*net.TCPConn).SetLinger(0)
+	}()
+	return l.Addr().String()
+}
