--- a/toucanstair/toucanbalancer/picker.go
+++ b/toucanstair/toucanbalancer/picker.go
@@ -50,8 +50,17 @@
 
 // Pick returns the target with the lowest expected latency and that latency, or nil
 // when no target is available. Without an available target of PreferredVersion, it
-// picks one of another version.
+// picks one of another version. It takes a token of the cold limit of a cold target.
 func (p *Picker) Pick(ts []*Target, cons Constraints, now time.Time) (*Target, time.Duration) {
+	best, latency := p.Estimate(ts, cons, now)
+	if best != nil && cons.ColdRateLimit > 0 && best.IsCold(now) {
+		best.coldLimit.take()
+	}
+	return best, latency
+}
+
+// Estimate returns what Pick would return, without taking a token.
+func (p *Picker) Estimate(ts []*Target, cons Constraints, now time.Time) (*Target, time.Duration) {
 	if cons.PreferredVersion != "" {
 		if t, latency := p.fastest(ts, cons, now); t != nil {
 			return t, latency
@@ -62,7 +71,7 @@
 }
 
 // fastest returns the allowed target with the lowest expected latency that is neither
-// paused nor over its cold limit, or nil. It takes a token of the cold limit.
+// paused nor over its cold limit, or nil.
 func (p *Picker) fastest(ts []*Target, cons Constraints, now time.Time) (*Target, time.Duration) {
 	var best *Target
 	var bestLatency time.Duration
@@ -78,17 +87,27 @@
 			best, bestLatency = t, latency
 		}
 	}
-	if best != nil && cons.ColdRateLimit > 0 && best.IsCold(now) {
-		best.coldLimit.take()
-	}
 	return best, bestLatency
 }
 
-// AnyAllowed reports whether a request may go to at least one target, even if the
-// target is paused or over its cold limit now.
-func (p *Picker) AnyAllowed(ts []*Target, cons Constraints) bool {
+// AvailableAt returns when the first target that a request may go to is not paused any
+// more: now, if one is not paused. It reports false if the request may go to none.
+func (p *Picker) AvailableAt(ts []*Target, cons Constraints, now time.Time) (time.Time, bool) {
 	cons = cons.relaxedFor(ts)
-	return slices.ContainsFunc(ts, func(t *Target) bool { return p.allowed(t, cons) })
+	var first time.Time
+	for _, t := range ts {
+		if !p.allowed(t, cons) {
+			continue
+		}
+		at := t.Stats.PausedUntil()
+		if !now.Before(at) {
+			return now, true
+		}
+		if first.IsZero() || at.Before(first) {
+			first = at
+		}
+	}
+	return first, !first.IsZero()
 }
 
 // relaxedFor drops ExcludedVersion when all targets have that version.
--- a/toucanstair/toucanbalancer/stats.go
+++ b/toucanstair/toucanbalancer/stats.go
@@ -33,7 +33,8 @@
 	queueLength   int // reported by the target
 	queueReported time.Time
 	pausedUntil   time.Time
-	pauses        int // since the last complete response; sets the length of the next one
+	pauses        int       // since the last complete response; sets the length of the next one
+	refusingUntil time.Time // end of the time for which the target asked for no requests
 }
 
 // StatsSnapshot is a copy of Stats at one moment.
@@ -125,6 +126,30 @@
 	s.pauses++
 }
 
+// RecordRequestedPause records that the target asked this host for no requests for a
+// time. Unlike the pause after a failed connection, a response does not end it.
+func (s *Stats) RecordRequestedPause(now time.Time, d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if until := now.Add(d); until.After(s.refusingUntil) {
+		s.refusingUntil = until
+	}
+}
+
+// PausedUntil returns the end of the pauses, which may be in the past.
+func (s *Stats) PausedUntil() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pauseEnd()
+}
+
+func (s *Stats) pauseEnd() time.Time {
+	if s.refusingUntil.After(s.pausedUntil) {
+		return s.refusingUntil
+	}
+	return s.pausedUntil
+}
+
 // RecordQueueLength records the number of waiting requests that the target reported.
 func (s *Stats) RecordQueueLength(now time.Time, waiting int) {
 	s.mu.Lock()
@@ -139,7 +164,7 @@
 	s.decay(now)
 	snap := StatsSnapshot{
 		Latency: s.latency, Deviation: s.deviation, FailureRate: s.failureRate, RefusalRate: s.refusalRate,
-		InFlight: len(s.inFlight), Paused: now.Before(s.pausedUntil),
+		InFlight: len(s.inFlight), Paused: now.Before(s.pauseEnd()),
 	}
 	for _, at := range s.inFlight {
 		snap.OldestAge = max(snap.OldestAge, now.Sub(at))
@@ -176,5 +201,6 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	s.latency, s.deviation, s.failureRate, s.refusalRate = o.latency, o.deviation, o.failureRate, o.refusalRate
-	s.decayedAt, s.queueLength, s.queueReported, s.pausedUntil, s.pauses = o.decayedAt, o.queueLength, o.queueReported, o.pausedUntil, o.pauses
+	s.decayedAt, s.queueLength, s.queueReported = o.decayedAt, o.queueLength, o.queueReported
+	s.pausedUntil, s.pauses, s.refusingUntil = o.pausedUntil, o.pauses, o.refusingUntil
 }
--- a/toucanstair/toucanbalancer/targetset.go
+++ b/toucanstair/toucanbalancer/targetset.go
@@ -40,7 +40,7 @@
 type Target struct {
 	TargetInfo
 	Stats      Stats
-	coldLimit  coldLimiter
+	coldLimit  *coldLimiter // shared by all entries of a process
 	coldUntil  atomic.Int64 // end of the cold start, Unix nanoseconds
 	unlistedAt time.Time    // zero while listed; not changed after creation
 }
@@ -58,7 +58,9 @@
 type TargetSet struct {
 	mu         sync.RWMutex
 	targets    map[toucanreplica.ID]*Target
+	byService  map[toucanservice.Name]map[toucanreplica.ID]*Target
 	candidates map[toucanservice.Name][]*Target
+	departures departureLog
 }
 
 // Upsert adds or replaces the entry of a target and reports whether it was added.
@@ -70,24 +72,45 @@
 	if old != nil && old.TargetInfo == e && old.unlistedAt.IsZero() {
 		return false
 	}
-	t := &Target{TargetInfo: e}
+	t := &Target{TargetInfo: e, coldLimit: &coldLimiter{}}
 	if old != nil && old.StartMillis == e.StartMillis && old.Address == e.Address {
 		if old.unlistedAt.IsZero() && equalExceptCold(old.TargetInfo, e) {
 			old.coldUntil.Store(now.Add(e.ColdRemaining).UnixNano())
 			return false
 		}
 		t.Stats.copyFrom(&old.Stats)
+		t.coldLimit = old.coldLimit
 	}
 	t.coldUntil.Store(now.Add(e.ColdRemaining).UnixNano())
+	if old != nil && old.Service != e.Service {
+		set.delete(old)
+	}
+	set.put(t)
+	return old == nil
+}
+
+// put stores a target and rebuilds the candidates of its service; the caller holds mu.
+func (set *TargetSet) put(t *Target) {
 	if set.targets == nil {
 		set.targets = make(map[toucanreplica.ID]*Target)
+		set.byService = make(map[toucanservice.Name]map[toucanreplica.ID]*Target)
 	}
-	set.targets[e.ID] = t
-	set.rebuildCandidates(e.Service)
-	if old != nil && old.Service != e.Service {
-		set.rebuildCandidates(old.Service)
+	if set.byService[t.Service] == nil {
+		set.byService[t.Service] = make(map[toucanreplica.ID]*Target)
 	}
-	return old == nil
+	set.targets[t.ID], set.byService[t.Service][t.ID] = t, t
+	set.rebuildCandidates(t.Service)
+}
+
+// delete removes a target and rebuilds the candidates of its service; the caller holds
+// mu.
+func (set *TargetSet) delete(t *Target) {
+	delete(set.targets, t.ID)
+	delete(set.byService[t.Service], t.ID)
+	if len(set.byService[t.Service]) == 0 {
+		delete(set.byService, t.Service)
+	}
+	set.rebuildCandidates(t.Service)
 }
 
 func equalExceptCold(a, b TargetInfo) bool {
@@ -104,10 +127,33 @@
 	if t == nil || !t.unlistedAt.IsZero() {
 		return
 	}
-	unlisted := &Target{TargetInfo: t.TargetInfo, unlistedAt: now}
+	unlisted := &Target{TargetInfo: t.TargetInfo, unlistedAt: now, coldLimit: t.coldLimit}
 	unlisted.Stats.copyFrom(&t.Stats)
-	set.targets[id] = unlisted
-	set.rebuildCandidates(t.Service)
+	unlisted.coldUntil.Store(t.coldUntil.Load())
+	set.put(unlisted)
+}
+
+// MarkLeaving records that a process of a target has announced its departure, and
+// reports whether that is new. The process gets no requests any more, also when its
+// entry is listed later; the next process of the target does.
+func (set *TargetSet) MarkLeaving(d Departure, now time.Time) bool {
+	set.mu.Lock()
+	defer set.mu.Unlock()
+	if !set.departures.add(d, now) {
+		return false
+	}
+	if t := set.targets[d.Target]; t != nil {
+		set.rebuildCandidates(t.Service)
+	}
+	return true
+}
+
+// DeparturesSince returns the departures recorded after the one with a number, and the
+// number of the last one. Numbers start at 1.
+func (set *TargetSet) DeparturesSince(number uint64) ([]Departure, uint64) {
+	set.mu.RLock()
+	defer set.mu.RUnlock()
+	return set.departures.since(number)
 }
 
 // MarkUnlistedExcept marks every target that is not in listed.
@@ -139,15 +185,15 @@
 		if t.unlistedAt.IsZero() || now.Sub(t.unlistedAt) < ttl {
 			continue
 		}
-		delete(set.targets, id)
-		set.rebuildCandidates(t.Service)
+		set.delete(t)
 		out = append(out, id)
 	}
+	set.departures.forget(now)
 	return out
 }
 
 // Candidates returns the targets of a service that may get requests: the listed ones
-// that are not draining, or, when there is none, those that were unlisted recently.
+// that are neither draining nor leaving, or, when there is none, those that were unlisted recently.
 // The caller must not change the slice.
 func (set *TargetSet) Candidates(s toucanservice.Name) []*Target {
 	set.mu.RLock()
@@ -173,9 +219,9 @@
 // makes a new slice, because readers use the old one without a lock.
 func (set *TargetSet) rebuildCandidates(s toucanservice.Name) {
 	var listed, unlisted []*Target
-	for _, t := range set.targets {
+	for _, t := range set.byService[s] {
 		switch {
-		case t.Service != s || t.Draining:
+		case t.Draining || set.departures.contains(Departure{t.ID, t.StartMillis}):
 		case t.unlistedAt.IsZero():
 			listed = append(listed, t)
 		default:
--- a/toucanstair/toucanbalancer/targetset_test.go
+++ b/toucanstair/toucanbalancer/targetset_test.go
@@ -140,3 +140,111 @@
 	require.Empty(t, pick(&set, now.Add(100*time.Millisecond)))
 	require.Equal(t, "t1", pick(&set, now.Add(time.Second)))
 }
+
+// Guards against a leaving target that gets requests again because of a late entry, an
+// entry that was gone for a while, or the store's outage, and against the next process
+// of the target that gets none.
+func TestLeavingTargetIsOutForItsProcessOnly(t *testing.T) {
+	var set toucanbalancer.TargetSet
+	now := time.Now()
+	set.Upsert(entry("t1", "a"), now)
+	set.Upsert(entry("t2", "a"), now)
+	require.True(t, set.MarkLeaving(toucanbalancer.Departure{Target: "t1", StartMillis: 1}, now))
+	require.False(t, set.MarkLeaving(toucanbalancer.Departure{Target: "t1", StartMillis: 1}, now), "it is known")
+	require.Equal(t, []string{"t2"}, ids(set.Candidates("s")))
+	late := entry("t1", "a")
+	late.Version = "v2"
+	set.Upsert(late, now)
+	require.Equal(t, []string{"t2"}, ids(set.Candidates("s")), "a later entry says ready")
+	set.MarkUnlisted("t1", now)
+	set.MarkUnlisted("t2", now)
+	require.Equal(t, []string{"t2"}, ids(set.Candidates("s")), "not even as a fallback")
+	set.RemoveExpired(now.Add(time.Minute), false)
+	set.Upsert(entry("t1", "a"), now.Add(time.Minute))
+	require.Empty(t, ids(set.Candidates("s")), "listed again")
+	next := entry("t1", "a")
+	next.StartMillis = 2
+	set.Upsert(next, now.Add(time.Minute))
+	require.Equal(t, []string{"t1"}, ids(set.Candidates("s")))
+}
+
+// Guards against departures that are kept without a bound, and against receivers that
+// miss one or get it twice.
+func TestDeparturesAreBoundedAndNumbered(t *testing.T) {
+	var set toucanbalancer.TargetSet
+	now := time.Now()
+	const recorded, limit = 9000, 8192
+	for i := range recorded {
+		set.MarkLeaving(toucanbalancer.Departure{Target: toucanreplica.ID(fmt.Sprint(i))}, now)
+	}
+	all, last := set.DeparturesSince(0)
+	require.Len(t, all, limit)
+	require.EqualValues(t, recorded, last)
+	require.Equal(t, toucanreplica.ID(fmt.Sprint(recorded-limit)), all[0].Target)
+	newest, _ := set.DeparturesSince(last - 1)
+	require.Equal(t, all[limit-1:], newest)
+	none, same := set.DeparturesSince(last)
+	require.Empty(t, none)
+	require.Equal(t, last, same)
+	set.RemoveExpired(now.Add(time.Hour), false)
+	none, same = set.DeparturesSince(0)
+	require.Empty(t, none)
+	require.Equal(t, last, same)
+}
+
+// Guards against a target whose entry is gone for a moment during its cold start: it
+// would get requests at the full rate.
+func TestUnlistedTargetStaysCold(t *testing.T) {
+	var set toucanbalancer.TargetSet
+	now := time.Now()
+	cold := entry("t1", "a")
+	cold.ColdRemaining = time.Minute
+	set.Upsert(cold, now)
+	set.MarkUnlisted("t1", now)
+	require.True(t, set.Candidates("s")[0].IsCold(now.Add(time.Second)))
+}
+
+// Guards against an estimate that uses up the rate of a cold target, and against a cold
+// target that gets its full rate again each time its entry changes.
+func TestColdTokensAreTakenByRequestsOnly(t *testing.T) {
+	var set toucanbalancer.TargetSet
+	now := time.Now()
+	cold := entry("t1", "a")
+	cold.ColdRemaining = time.Hour
+	set.Upsert(cold, now)
+	cons := toucanbalancer.Constraints{ColdRateLimit: 1}
+	_, _ = picker.Pick(set.Candidates("s"), cons, now) // starts the refilling
+	now = now.Add(2 * time.Second)
+	for range 5 {
+		target, _ := picker.Estimate(set.Candidates("s"), cons, now)
+		require.NotNil(t, target)
+	}
+	target, _ := picker.Pick(set.Candidates("s"), cons, now)
+	require.NotNil(t, target)
+	for i := range 20 {
+		cold.Slots = 3 + i
+		set.Upsert(cold, now)
+		target, _ = picker.Pick(set.Candidates("s"), cons, now)
+		require.Nil(t, target)
+	}
+}
+
+// Guards against a target that asked for a pause and gets requests because another
+// response of it arrived meanwhile or its entry changed.
+func TestRequestedPauseLasts(t *testing.T) {
+	var set toucanbalancer.TargetSet
+	now := time.Now()
+	set.Upsert(entry("t1", "a"), now)
+	target := set.Candidates("s")[0]
+	target.Stats.RecordRequestedPause(now, 4*time.Second)
+	target.Stats.RecordRequestedPause(now, time.Second)
+	target.Stats.RecordSuccess(now, time.Millisecond)
+	changed := entry("t1", "a")
+	changed.Slots = 7
+	set.Upsert(changed, now)
+	require.Empty(t, pick(&set, now.Add(3900*time.Millisecond)))
+	at, ok := picker.AvailableAt(set.Candidates("s"), toucanbalancer.Constraints{}, now.Add(time.Second))
+	require.True(t, ok)
+	require.Equal(t, now.Add(4*time.Second), at)
+	require.Equal(t, "t1", pick(&set, now.Add(4*time.Second)))
+}
--- a/toucanstair/toucanfeed/client.go
+++ b/toucanstair/toucanfeed/client.go
@@ -8,6 +8,8 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	"toucanstair.example/core/toucanpb"
+	"toucanstair.example/core/toucanreplica"
+	"toucanstair.example/toucanstair/toucanbalancer"
 	"toucanstair.example/toucanstair/toucanmirror"
 	"toucanstair.example/toucanstair/toucantransport"
 )
@@ -30,16 +32,23 @@
 	return "feed of " + e.Address + ": " + e.Reason + " (age " + e.Age.String() + ")"
 }
 
-// Follow streams the changes after a revision from the host at an address, and
-// passes each batch to apply with the time at which the store confirmed it. It
-// returns an error when the feed fails, is silent for MaxSilence or is older
+// Receiver takes in the messages of a feed.
+type Receiver interface {
+	// ApplyBatch applies changes that the store confirmed at a point in time.
+	ApplyBatch(b toucanmirror.Batch, confirmed time.Time)
+	// RecordDeparture records a target that announced its departure to another host.
+	RecordDeparture(d toucanbalancer.Departure)
+}
+
+// Follow streams the changes after a revision from the host at an address to a
+// receiver. It returns an error when the feed fails, is silent for MaxSilence or is older
 // than MaxAge; the latter is a *StaleError.
-func Follow(ctx context.Context, address string, after uint64, l Limits, apply func(toucanmirror.Batch, time.Time)) error {
+func Follow(ctx context.Context, address string, after uint64, l Limits, receiver Receiver) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	conn, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithContextDialer(toucantransport.Dial), grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)))
+		grpc.WithContextDialer(toucantransport.Dial), grpc.WithMaxHeaderListSize(maxHeaderBytes), grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)))
 	if err != nil {
 		return err
 	}
@@ -64,6 +73,9 @@
 		for _, it := range r.GetRecords() {
 			b.Items = append(b.Items, toucanmirror.Item{Key: it.GetKey(), Value: it.GetValue(), Revision: it.GetRevision(), Deleted: it.GetGone()})
 		}
-		apply(b, time.Now().Add(-age))
+		receiver.ApplyBatch(b, time.Now().Add(-age))
+		for _, d := range r.GetDepartures() {
+			receiver.RecordDeparture(toucanbalancer.Departure{Target: toucanreplica.ID(d.GetTarget()), StartMillis: d.GetStart()})
+		}
 	}
 }
--- a/toucanstair/toucanfeed/feed_test.go
+++ b/toucanstair/toucanfeed/feed_test.go
@@ -10,15 +10,42 @@
 	"google.golang.org/grpc"
 
 	"toucanstair.example/core/toucanpb"
+	"toucanstair.example/toucanstair/toucanbalancer"
 	"toucanstair.example/toucanstair/toucanfeed"
 	"toucanstair.example/toucanstair/toucanmirror"
 )
 
+// receiver passes the parts of a feed to functions, which may be nil.
+type receiver struct {
+	batch     func(toucanmirror.Batch, time.Time)
+	departure func(toucanbalancer.Departure)
+}
+
+func (r receiver) ApplyBatch(b toucanmirror.Batch, confirmed time.Time) {
+	if r.batch != nil {
+		r.batch(b, confirmed)
+	}
+}
+
+func (r receiver) RecordDeparture(d toucanbalancer.Departure) {
+	if r.departure != nil {
+		r.departure(d)
+	}
+}
+
 func serve(t *testing.T, m *toucanmirror.Mirror) string {
+	return serveWithDepartures(t, m, nil)
+}
+
+func serveWithDepartures(t *testing.T, m *toucanmirror.Mirror, targets *toucanbalancer.TargetSet) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	server := grpc.NewServer()
-	toucanpb.RegisterFeedServer(server, &toucanfeed.Server{Mirror: m})
+	feed := &toucanfeed.Server{Mirror: m}
+	if targets != nil {
+		feed.Departures = targets
+	}
+	toucanpb.RegisterFeedServer(server, feed)
 	end := make(chan error, 1)
 	go func() { end <- server.Serve(l) }()
 	t.Cleanup(func() {
@@ -44,11 +71,11 @@
 	batches := make(chan toucanmirror.Batch, 100)
 	end := make(chan error, 1)
 	go func() {
-		end <- toucanfeed.Follow(ctx, address, 0, limits, func(b toucanmirror.Batch, confirmed time.Time) {
+		end <- toucanfeed.Follow(ctx, address, 0, limits, receiver{batch: func(b toucanmirror.Batch, confirmed time.Time) {
 			if time.Since(confirmed) < time.Minute && len(b.Items) > 0 {
 				batches <- b
 			}
-		})
+		}})
 	}()
 	first := <-batches
 	require.True(t, first.Full)
@@ -61,12 +88,36 @@
 	require.Error(t, <-end)
 }
 
+// Guards against followers that do not learn of a target's departure before they ask it
+// themselves.
+func TestFollowReceivesDepartures(t *testing.T) {
+	var m toucanmirror.Mirror
+	put(&m, "a", 5, true)
+	var targets toucanbalancer.TargetSet
+	before, after := toucanbalancer.Departure{Target: "t1", StartMillis: 7}, toucanbalancer.Departure{Target: "t2", StartMillis: 8}
+	targets.MarkLeaving(before, time.Now())
+	address := serveWithDepartures(t, &m, &targets)
+	ctx, cancel := context.WithCancel(t.Context())
+	received := make(chan toucanbalancer.Departure, 10)
+	end := make(chan error, 1)
+	go func() {
+		end <- toucanfeed.Follow(ctx, address, 0, limits, receiver{departure: func(d toucanbalancer.Departure) { received <- d }})
+	}()
+	require.Equal(t, before, <-received)
+	targets.MarkLeaving(after, time.Now())
+	put(&m, "b", 6, false)
+	require.Equal(t, after, <-received)
+	cancel()
+	require.Error(t, <-end)
+	require.Empty(t, received, "each departure is sent once")
+}
+
 // Guards against a host that follows another one which can no longer read the
 // store.
 func TestFollowFailsOnStaleFeed(t *testing.T) {
 	var m toucanmirror.Mirror
 	m.Apply(toucanmirror.Batch{Full: true, Revision: 5}, time.Now().Add(-time.Hour))
-	err := toucanfeed.Follow(t.Context(), serve(t, &m), 5, limits, func(toucanmirror.Batch, time.Time) {})
+	err := toucanfeed.Follow(t.Context(), serve(t, &m), 5, limits, receiver{})
 	var stale *toucanfeed.StaleError
 	require.ErrorAs(t, err, &stale)
 	require.Greater(t, stale.Age, 59*time.Minute)
@@ -78,5 +129,5 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { l.Close() })
 	short := toucanfeed.Limits{MaxSilence: 50 * time.Millisecond, MaxAge: time.Minute}
-	require.Error(t, toucanfeed.Follow(t.Context(), l.Addr().String(), 0, short, func(toucanmirror.Batch, time.Time) {}))
+	require.Error(t, toucanfeed.Follow(t.Context(), l.Addr().String(), 0, short, receiver{}))
 }
--- a/toucanstair/toucanfeed/server.go
+++ b/toucanstair/toucanfeed/server.go
@@ -8,6 +8,7 @@
 	"google.golang.org/grpc"
 
 	"toucanstair.example/core/toucanpb"
+	"toucanstair.example/toucanstair/toucanbalancer"
 	"toucanstair.example/toucanstair/toucanmirror"
 )
 
@@ -17,19 +18,29 @@
 	// maxMessageBytes bounds a message; the largest one is a full copy of the
 	// store's keys.
 	maxMessageBytes = 32 << 20
+	// maxHeaderBytes bounds the header of a message.
+	maxHeaderBytes = 64 << 10
 )
 
+// departures are the targets that announced their departure to this host or to one that
+// it follows; toucanbalancer.TargetSet implements it.
+type departures interface {
+	// DeparturesSince returns the departures after a number, and the last number.
+	DeparturesSince(number uint64) ([]toucanbalancer.Departure, uint64)
+}
+
 // Server serves a Mirror to other hosts.
 type Server struct {
 	toucanpb.UnimplementedFeedServer
-	Mirror *toucanmirror.Mirror
+	Mirror     *toucanmirror.Mirror
+	Departures departures // may be nil
 }
 
 // Follow sends the changes after the requested revision as they occur, and every
 // keepaliveInterval a message that may have no changes. Each message has the age
-// of the mirror.
+// of the mirror and the departures that were not sent yet.
 func (s *Server) Follow(r *toucanpb.FollowRequest, stream grpc.ServerStreamingServer[toucanpb.FollowReply]) error {
-	after := r.GetAfter()
+	after, sentDepartures := r.GetAfter(), uint64(0)
 	keepalive := time.NewTicker(keepaliveInterval)
 	defer keepalive.Stop()
 	for {
@@ -38,7 +49,15 @@
 		if b.Revision == 0 {
 			b.Full = false
 		}
-		if err := stream.Send(reply(b, s.Mirror.Age(time.Now()))); err != nil {
+		message := reply(b, s.Mirror.Age(time.Now()))
+		if s.Departures != nil {
+			var left []toucanbalancer.Departure
+			left, sentDepartures = s.Departures.DeparturesSince(sentDepartures)
+			for _, d := range left {
+				message.Departures = append(message.Departures, &toucanpb.Departure{Target: string(d.Target), Start: d.StartMillis})
+			}
+		}
+		if err := stream.Send(message); err != nil {
 			return err
 		}
 		after = b.Revision
--- a/toucanstair/toucanfollower/apply.go
+++ b/toucanstair/toucanfollower/apply.go
@@ -9,6 +9,7 @@
 	"toucanstair.example/core/toucanhost"
 	"toucanstair.example/core/toucanzone"
 	"toucanstair.example/toucanstair/toucanmirror"
+	"toucanstair.example/toucanstair/toucanpanic"
 	"toucanstair.example/toucanstair/toucanrules"
 	"toucanstair.example/toucanstair/toucansource"
 )
@@ -73,7 +74,11 @@
 	if c, ok := f.decoded[v]; ok {
 		return c
 	}
-	c, err := f.Decode(it)
+	var c Change
+	var err error
+	if panicked := toucanpanic.Call(func() { c, err = f.Decode(it) }); panicked != nil {
+		c, err = Change{}, panicked
+	}
 	if err != nil {
 		f.Log.Warn("item can't be decoded", zap.String("key", it.Key), zap.Uint64("revision", it.Revision), zap.Error(err))
 	}
--- a/toucanstair/toucanfollower/follower.go
+++ b/toucanstair/toucanfollower/follower.go
@@ -23,6 +23,7 @@
 	"toucanstair.example/toucanstair/toucanbalancer"
 	"toucanstair.example/toucanstair/toucanfeed"
 	"toucanstair.example/toucanstair/toucanmirror"
+	"toucanstair.example/toucanstair/toucanpanic"
 	"toucanstair.example/toucanstair/toucanrollout"
 	"toucanstair.example/toucanstair/toucanrules"
 	"toucanstair.example/toucanstair/toucansource"
@@ -44,6 +45,12 @@
 	// backlogThreshold is the number of changes in a reply at which a follower
 	// that catches up after a failure expects that more are pending.
 	backlogThreshold = 20
+	// catchUpHold is how long the store may hold a watch for the changes since a list. There
+	// are some already, or none.
+	catchUpHold = time.Millisecond
+	// maxCatchUpCalls bounds the watches after a stale list. A busy store always has more
+	// changes, which the following watches return.
+	maxCatchUpCalls = 4
 	// minBackoff and maxBackoff bound the pause after a failed call.
 	minBackoff = 150 * time.Millisecond
 	maxBackoff = 900 * time.Millisecond
@@ -215,11 +222,17 @@
 		s := sources[min(skip, len(sources)-1)]
 		began := time.Now()
 		var err error
-		if s.IsStore() {
-			err = f.readStore(ctx, fallbackUntil)
-		} else {
+		panicked := toucanpanic.Call(func() {
+			if s.IsStore() {
+				err = f.readStore(ctx, fallbackUntil)
+				return
+			}
 			feeds.Inc()
 			err = f.followHost(ctx, s.Peer, skip > 0, fallbackUntil)
+		})
+		if panicked != nil {
+			f.Log.Error("reading a source panicked", zap.String("source", sourceName(s)), zap.ByteString("stack", panicked.Stack))
+			err = panicked
 		}
 		if ctx.Err() != nil {
 			return
@@ -284,16 +297,28 @@
 		defer cancel()
 	}
 	limits := toucanfeed.Limits{MaxSilence: maxFeedSilence, MaxAge: time.Duration(maxFeedAgeShare * float64(f.MaxPropagation))}
-	err := toucanfeed.Follow(feedCtx, p.Address, f.Mirror.Revision(), limits, func(b toucanmirror.Batch, confirmed time.Time) {
-		f.apply(b, confirmed)
-		f.sourceRegained(toucansource.Source{Peer: p})
-	})
+	err := toucanfeed.Follow(feedCtx, p.Address, f.Mirror.Revision(), limits, feedReceiver{f, p})
 	if bounded && feedCtx.Err() != nil && ctx.Err() == nil {
 		return nil
 	}
 	return err
 }
 
+// feedReceiver applies the messages of another host's feed.
+type feedReceiver struct {
+	follower *Follower
+	peer     toucansource.Peer
+}
+
+func (r feedReceiver) ApplyBatch(b toucanmirror.Batch, confirmed time.Time) {
+	r.follower.apply(b, confirmed)
+	r.follower.sourceRegained(toucansource.Source{Peer: r.peer})
+}
+
+func (r feedReceiver) RecordDeparture(d toucanbalancer.Departure) {
+	r.follower.Targets.MarkLeaving(d, time.Now())
+}
+
 // readStore reads the store until that fails or, after fallbackUntil, until
 // there is a better source.
 func (f *Follower) readStore(ctx context.Context, fallbackUntil time.Time) error {
@@ -338,14 +363,21 @@
 	return nil
 }
 
-// list reads all items. The first list of a host may be stale, since the
-// following watch returns the changes since.
+// list reads all items. The first list of a host may be stale; it is used only
+// together with the changes since, so that a restarted host does not use what was
+// withdrawn before its start.
 func (f *Follower) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	stale := f.Mirror.Revision() == 0 && !f.listedStale
 	f.listedStale = stale
 	items, revision, err := f.Store.List(ctx, stale)
+	if err == nil && stale {
+		items, revision, err = f.catchUp(ctx, items, revision)
+		if errors.Is(err, ErrCompacted) {
+			items, revision, err = f.Store.List(ctx, false)
+		}
+	}
 	if err != nil {
 		return err
 	}
@@ -353,6 +385,35 @@
 	return nil
 }
 
+// catchUp returns listed items with the changes since their revision, as many as
+// maxCatchUpCalls return. Without them the items must not be used.
+func (f *Follower) catchUp(ctx context.Context, items []toucanmirror.Item, revision uint64) ([]toucanmirror.Item, uint64, error) {
+	current := make(map[string]toucanmirror.Item, len(items))
+	for _, it := range items {
+		current[it.Key] = it
+	}
+	for n := 1; ; n++ {
+		calls.Inc()
+		changes, to, err := f.Store.Watch(ctx, revision, catchUpHold)
+		if err != nil {
+			return nil, 0, err
+		}
+		for _, it := range changes {
+			switch {
+			case it.Revision < current[it.Key].Revision:
+			case it.Deleted:
+				delete(current, it.Key)
+			default:
+				current[it.Key] = it
+			}
+		}
+		revision = max(revision, to)
+		if f.catchingUp = len(changes) >= backlogThreshold; !f.catchingUp || n == maxCatchUpCalls {
+			return slices.Collect(maps.Values(current)), revision, nil
+		}
+	}
+}
+
 // sweep removes expired targets until ctx ends.
 func (f *Follower) sweep(ctx context.Context) {
 	for toucantimer.Wait(ctx, sweepInterval) {
--- a/toucanstair/toucanfollower/follower_test.go
+++ b/toucanstair/toucanfollower/follower_test.go
@@ -31,15 +31,17 @@
 
 // fakeStore is an in-memory store with configurable failures.
 type fakeStore struct {
-	mu          sync.Mutex
-	items       map[string]toucanmirror.Item
-	log         []toucanmirror.Item
-	revision    uint64
-	compactedTo uint64 // changes up to this revision are compacted
-	down        bool
-	hung        bool // watches hang until their context ends
-	calls       int
-	changed     chan struct{}
+	mu            sync.Mutex
+	items         map[string]toucanmirror.Item
+	log           []toucanmirror.Item
+	revision      uint64
+	compactedTo   uint64 // changes up to this revision are compacted
+	down          bool
+	hung          bool                         // watches hang until their context ends
+	staleItems    map[string]toucanmirror.Item // returned by stale lists, with staleRevision; nil: the current items
+	staleRevision uint64
+	calls         int
+	changed       chan struct{}
 }
 
 func newFakeStore() *fakeStore {
@@ -78,13 +80,16 @@
 	return s.calls
 }
 
-func (s *fakeStore) List(context.Context, bool) ([]toucanmirror.Item, uint64, error) {
+func (s *fakeStore) List(_ context.Context, stale bool) ([]toucanmirror.Item, uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
 	if s.down {
 		return nil, 0, unavailable{}
 	}
+	if stale && s.staleItems != nil {
+		return slices.Collect(maps.Values(s.staleItems)), s.staleRevision, nil
+	}
 	return slices.Collect(maps.Values(s.items)), s.revision, nil
 }
 
@@ -302,3 +307,66 @@
 		require.Greater(t, s.callCount(), 10)
 	})
 }
+
+// Guards against a restarted host that uses, for a moment or for as long as the store is
+// away, what was withdrawn before its start: a target that left, a zone that was taken
+// out of service, older rules.
+func TestRestartedHostDoesNotUseWithdrawnItems(t *testing.T) {
+	for name, fail := range map[string]func(*fakeStore){
+		"changes available": func(*fakeStore) {},
+		"changes compacted": func(s *fakeStore) { s.compactedTo, s.log = s.revision, nil },
+		"watches hang":      func(s *fakeStore) { s.hung = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newFakeStore()
+				s.put("rules", "7")
+				s.put("t/1", "ready")
+				s.put("t/2", "ready")
+				s.set(func() { s.staleItems, s.staleRevision = maps.Clone(s.items), s.revision })
+				s.remove("t/1")
+				s.put("rules", "8")
+				s.put("out/a", "")
+				s.set(func() { fail(s) })
+				f := startFollower(t, s)
+				for range 400 {
+					<-time.After(10 * time.Millisecond)
+					require.NotEqual(t, uint64(7), rulesVersion(f))
+					require.False(t, f.Targets.Contains("1"))
+					require.Equal(t, f.Ready(), f.OutOfServiceZones()["a"])
+				}
+				s.set(func() { s.hung = false })
+				<-time.After(10 * time.Second)
+				require.Equal(t, uint64(8), rulesVersion(f))
+			})
+		})
+	}
+}
+
+// Guards against one malformed item that ends the process, or the reading of others.
+func TestPanicOnOneItemLeavesTheOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		f := &toucanfollower.Follower{
+			Store: s, MaxPropagation: maxPropagation, Self: toucansource.Peer{ID: "h", Zone: "a"},
+			Mirror: &toucanmirror.Mirror{}, Targets: &toucanbalancer.TargetSet{}, Rollouts: &toucanrollout.Manager{}, Log: zap.NewNop(),
+			Decode: func(it toucanmirror.Item) (toucanfollower.Change, error) {
+				if it.Key == "t/bad" {
+					panic("a defect")
+				}
+				return decode(it)
+			},
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		end := f.Run(ctx)
+		s.put("t/bad", "ready")
+		s.put("t/1", "ready")
+		<-time.After(maxPropagation)
+		s.put("t/bad", "again")
+		s.put("t/2", "ready")
+		<-time.After(maxPropagation)
+		require.Len(t, f.Targets.Candidates("s"), 2)
+		cancel()
+		require.NoError(t, <-end)
+	})
+}
--- a/toucanstair/toucanforward/bench_test.go
+++ b/toucanstair/toucanforward/bench_test.go
@@ -28,7 +28,7 @@
 
 var testHeaders = toucantransport.Headers{
 	RequestID: "Toucan-Id", Deadline: "Deadline", ExpectedTarget: "Expect-Target", Signature: "Stamp",
-	NotExecuted: "Not-Run", Load: "Load", ColdRemaining: "Cold", PartSignatures: "Parts", MissingShards: "Missing",
+	NotExecuted: "Not-Run", Load: "Load", ColdRemaining: "Cold", PartSignatures: "Parts", MissingShards: "Missing", Leaving: "Leaving",
 }
 
 // startRawTarget starts a target that answers each read on a connection with
--- a/toucanstair/toucanforward/dispatch.go
+++ b/toucanstair/toucanforward/dispatch.go
@@ -5,13 +5,16 @@
 	"errors"
 	"math/rand/v2"
 	"runtime"
+	"sync/atomic"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
+	"go.uber.org/zap"
 
 	"toucanstair.example/core/toucanservice"
 	"toucanstair.example/toucanstair/toucanbalancer"
 	"toucanstair.example/toucanstair/toucangather"
+	"toucanstair.example/toucanstair/toucanpanic"
 	"toucanstair.example/toucanstair/toucanrules"
 	"toucanstair.example/toucanstair/toucantransport"
 )
@@ -26,6 +29,9 @@
 	lateHoldThreshold = 3
 	lateHoldDivisor   = 10
 	maxHedgeHolds     = 2
+	// maxPartBytes bounds the response of one shard. It is 16,384 records, of which a
+	// merged response has tens.
+	maxPartBytes = 256 << 10
 	// attemptGracePeriod is how long attempts may continue after the response was
 	// sent. Finished attempts keep their connection open and update the latency
 	// statistics.
@@ -49,6 +55,8 @@
 	decision   toucangather.Decision
 	hedgeHolds int // times that hedging was postponed
 	callerGone bool
+	responses  []*toucantransport.Response // of all results that were handled, for release
+	released   atomic.Bool                 // release was called
 }
 
 // attemptResult is the result of one attempt: a response or an error.
@@ -66,7 +74,9 @@
 	services := route.Shards
 	d.tracker = toucangather.Tracker{Shards: len(services), MinCoverage: route.MinCoverage, Deadline: deadline}
 	if route.FansOut() {
-		d.tracker.SoftDeadline = log.start.Add(route.LatencyObjective - softDeadlineMargin - log.networkTime)
+		if route.LatencyObjective > 0 {
+			d.tracker.SoftDeadline = log.start.Add(route.LatencyObjective - softDeadlineMargin - log.networkTime)
+		}
 	} else {
 		services = []toucanservice.Name{route.PickService(rand.Float64())}
 		d.tracker.Shards, d.tracker.MinCoverage = 1, 1
@@ -86,7 +96,7 @@
 	d.ctx, d.cancel = context.WithDeadline(context.WithoutCancel(caller), d.deadline.Add(deadlineMargin))
 	defer d.finish()
 	now := time.Now()
-	if d.abandonUnserved(); d.tracker.Decide(now) == toucangather.Abandon {
+	if d.abandonUnserved(now); d.tracker.Decide(now) == toucangather.Abandon {
 		d.decision = toucangather.Abandon
 		return
 	}
@@ -118,14 +128,20 @@
 	}
 }
 
-// abandonUnserved abandons the legs whose service has no target, so that a
-// request that can't be served is refused before anything is sent.
-func (d *dispatch) abandonUnserved() {
+// abandonUnserved abandons the legs whose service has no target, or whose targets are
+// all paused for longer than the leg may wait, so that a request that can't be served
+// is refused before anything is sent.
+func (d *dispatch) abandonUnserved(now time.Time) {
 	for i := range d.legs {
 		l := &d.legs[i]
-		if !d.f.Picker.AnyAllowed(d.f.Targets.Candidates(l.service), d.constraints(l, nil)) {
+		at, ok := d.f.Picker.AvailableAt(d.f.Targets.Candidates(l.service), d.constraints(l, nil), now)
+		switch {
+		case !ok:
 			l.noTarget = true
 			d.abandon(l)
+		case at.After(now) && at.After(d.waitLimit(l)):
+			l.availableAt = at
+			d.abandon(l)
 		}
 	}
 }
@@ -211,12 +227,30 @@
 		Target: t.ID, Address: t.Address, Message: d.message, MaxConnections: d.f.connections(t, d.route), FreshConnection: !d.route.Idempotent,
 		DialTimeout: min(connectTimeout, d.deadline.Sub(now)),
 	}
+	if d.route.FansOut() {
+		r.MaxBodyBytes = maxPartBytes
+	}
 	d.f.workers.Go(func() { d.runAttempt(i, t, r, now) })
 }
 
-// runAttempt sends leg i to a target, records the result in the statistics and
-// delivers it to run. planned is when the attempt was decided.
+// runAttempt sends leg i to a target and delivers the result to run, also after a panic.
+// planned is when the attempt was decided.
 func (d *dispatch) runAttempt(i int, t *toucanbalancer.Target, r *toucantransport.Request, planned time.Time) {
+	var result attemptResult
+	panicked := toucanpanic.Call(func() { result = d.attempt(i, t, r, planned) })
+	if panicked != nil {
+		d.f.Log.Error("attempt panicked", zap.String("request", d.log.id), zap.String("target", string(t.ID)),
+			zap.Error(panicked), zap.ByteString("stack", panicked.Stack))
+		result = attemptResult{leg: i, target: t, err: &toucantransport.Error{Kind: toucantransport.MaybeExecuted, Cause: panicked}}
+	}
+	d.results <- result
+	if d.released.Load() {
+		d.releasePending()
+	}
+}
+
+// attempt sends leg i to a target and records the result in the statistics.
+func (d *dispatch) attempt(i int, t *toucanbalancer.Target, r *toucantransport.Request, planned time.Time) attemptResult {
 	sent := time.Now()
 	d.f.sendLag.observe(sent.Sub(planned))
 	counted := d.f.countsForVersion(t, sent)
@@ -236,5 +270,27 @@
 	if counted {
 		d.f.observeVersion(t, d.route.Name, result, now.Sub(sent), cancelled)
 	}
-	d.results <- result
+	return result
+}
+
+// release returns the memory of all responses, after the last use of them. Attempts
+// that end later release their own.
+func (d *dispatch) release() {
+	for _, r := range d.responses {
+		r.Release()
+	}
+	d.released.Store(true)
+	d.releasePending()
+}
+
+// releasePending releases the responses of results that nobody handles.
+func (d *dispatch) releasePending() {
+	for {
+		select {
+		case result := <-d.results:
+			result.response.Release()
+		default:
+			return
+		}
+	}
 }
--- a/toucanstair/toucanforward/fake_test.go
+++ b/toucanstair/toucanforward/fake_test.go
@@ -31,6 +31,7 @@
 	errorKind *toucantransport.FailureKind // an error instead of a response
 	header    map[string]string            // in addition to the signature
 	unsigned  bool                         // without a signature
+	panics    bool                         // a defect of the host
 }
 
 // fakeTargets simulates targets without a network and records what reached them.
@@ -58,6 +59,9 @@
 		}
 	}
 	f.mu.Unlock()
+	if b.panics {
+		panic("a defect")
+	}
 	if !toucantimer.Wait(ctx, b.delay) {
 		f.mu.Lock()
 		defer f.mu.Unlock()
--- a/toucanstair/toucanforward/forwarder.go
+++ b/toucanstair/toucanforward/forwarder.go
@@ -6,10 +6,10 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,6 +21,7 @@
 	"toucanstair.example/core/toucanservice"
 	"toucanstair.example/core/toucanzone"
 	"toucanstair.example/toucanstair/toucanbalancer"
+	"toucanstair.example/toucanstair/toucanquota"
 	"toucanstair.example/toucanstair/toucanretry"
 	"toucanstair.example/toucanstair/toucanrollout"
 	"toucanstair.example/toucanstair/toucanrtt"
@@ -33,8 +34,6 @@
 	// deadlineMargin is the part of a caller's deadline that is reserved for
 	// returning the response.
 	deadlineMargin = 15 * time.Millisecond
-	// bodyReadTimeout limits the reading of a request body.
-	bodyReadTimeout = 5 * time.Second
 	// maxInFlight limits the requests that one host serves at the same time, and
 	// so the memory that they use.
 	maxInFlight = 600
@@ -83,15 +82,19 @@
 	// limits of each target, for routes over many shards and for other routes.
 	ShardedShare, UnshardedShare func() float64
 	Delegation                   *Delegation // nil: this host gathers all its requests itself
-	Log                          *zap.Logger
+	// Memory limits the bytes of all request bodies and responses that the host holds; nil
+	// means no limit.
+	Memory *toucanquota.Quota
+	Log    *zap.Logger
 	// Draining reports whether the host is shutting down. Connections are then
 	// closed after their response, and requests of other hosts are not accepted.
 	// It may be nil.
 	Draining func() bool
 
-	inFlight atomic.Int64
-	workers  toucanworker.Pool
-	sendLag  sendLag
+	inFlight     atomic.Int64
+	workers      toucanworker.Pool
+	sendLag      sendLag
+	invalidPause sync.Once // logs an invalid Retry-After of a target
 }
 
 var refusedFull = metrics.NewCounter(`toucan_forward_refused_total{reason="host is full"}`)
@@ -137,13 +140,21 @@
 		f.fail(w, log, http.StatusBadRequest, err.Error())
 		return
 	}
-	body, status, err := readBody(w, r, rules.Limits.MaxBodyBytes)
-	if err != nil {
+	memory := &reservingReader{quota: f.Memory}
+	defer memory.release()
+	body, status, err := memory.readBody(w, r, rules.Limits.MaxBodyBytes)
+	switch {
+	case errors.Is(err, errNoMemory):
+		refusedFull.Inc()
+		f.refuse(w, log, retryAfterOverload, err.Error())
+		return
+	case err != nil:
 		f.fail(w, log, status, err.Error())
 		return
 	}
 	message := toucantransport.NewMessage(log.id, r.Method, r.RequestURI, r.Host, f.forwardableHeader(r.Header), body)
 	d := f.newDispatch(message, route, log, deadline)
+	defer d.release()
 	if f.delegate(r.Context(), w, d, body, r) {
 		return
 	}
@@ -178,30 +189,6 @@
 	return "header " + e.name + " has the value " + strconv.Quote(e.value) + ", not a positive whole number"
 }
 
-// readBody reads a request body of at most maxBytes; 0 means no limit. On failure
-// it returns the status of the response and the error.
-func readBody(w http.ResponseWriter, r *http.Request, maxBytes int64) ([]byte, int, error) {
-	if r.Body == nil || r.Body == http.NoBody {
-		return nil, 0, nil
-	}
-	if maxBytes > 0 {
-		r.Body = http.MaxBytesReader(w, r.Body, maxBytes)
-	}
-	controller := http.NewResponseController(w)
-	// Only connections in tests don't support deadlines.
-	_ = controller.SetReadDeadline(time.Now().Add(bodyReadTimeout))
-	body, err := io.ReadAll(r.Body)
-	_ = controller.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, http.StatusRequestEntityTooLarge, err
-	case err != nil:
-		return nil, http.StatusBadRequest, err
-	}
-	return body, 0, nil
-}
-
 // refuse responds that the request has not run and when the caller may retry.
 func (f *Forwarder) refuse(w http.ResponseWriter, log *requestLog, retryAfter time.Duration, reason string) {
 	w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
--- a/toucanstair/toucanforward/forwarder_test.go
+++ b/toucanstair/toucanforward/forwarder_test.go
@@ -350,6 +350,23 @@
 	})
 }
 
+// Guards against a panic on one response that ends the process, or that leaves the
+// request without an answer.
+func TestPanicOnOneResponseFailsItsAttempt(t *testing.T) {
+	withFakeClock(t, func(t *testing.T) {
+		host := newTestHost(4, func(id toucanreplica.ID, _ int) behavior { return behavior{panics: strings.HasSuffix(string(id), "a")} })
+		w, _ := host.get(t.Context())
+		require.Equal(t, http.StatusOK, w.Code)
+		require.Equal(t, "0", w.Header().Get(testHeaders.MissingShards), "the other replicas were asked")
+	})
+	withFakeClock(t, func(t *testing.T) {
+		host := newTestHost(0, func(toucanreplica.ID, int) behavior { return behavior{panics: true} })
+		host.route.Idempotent = false
+		w, _ := host.get(t.Context())
+		require.Equal(t, http.StatusBadGateway, w.Code, "it may have run")
+	})
+}
+
 // Guards against serving requests before the rules are known, for unknown routes
 // or with malformed headers.
 func TestUnservableRequestsAreRejected(t *testing.T) {
--- a/toucanstair/toucanforward/gateway.go
+++ b/toucanstair/toucanforward/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net/http"
 	"time"
 
@@ -49,13 +50,14 @@
 	reply, err := f.Delegation.Client.Gather(ctx, peer.Address, &toucanpb.GatherRequest{
 		Id: d.log.id, Method: r.Method, Uri: r.RequestURI, Host: r.Host, Fields: headerFields(f.forwardableHeader(r.Header)),
 		Body: body, Rules: d.log.rulesVersion, Route: d.route.Name,
-		Due: int64(d.tracker.SoftDeadline.Sub(now) - peerRoundTrip), Limit: int64(d.deadline.Sub(now)),
+		Due: int64(d.softDeadlineOrEnd().Sub(now) - peerRoundTrip), Limit: int64(d.deadline.Sub(now)),
 	})
 	endClientSpan(span, err, attribute.String("toucan.host", string(peer.ID)))
 	callerGone := r.Context().Err() != nil
 	connecting := errors.Is(err, toucangateway.ErrNotConnected)
 	// A connection that is still being opened says nothing about the host.
 	f.Delegation.Placer.End(peer.ID, err == nil || callerGone || connecting, time.Now())
+	f.acceptDepartures(reply.GetDepartures())
 	log := d.log
 	switch {
 	case callerGone:
@@ -80,6 +82,14 @@
 	return true
 }
 
+// softDeadlineOrEnd returns when a response with missing shards is sent.
+func (d *dispatch) softDeadlineOrEnd() time.Time {
+	if d.tracker.SoftDeadline.IsZero() {
+		return d.deadline
+	}
+	return d.tracker.SoftDeadline
+}
+
 // Gateway is the gRPC server that gathers requests for other hosts.
 type Gateway struct {
 	toucanpb.UnimplementedGatewayServer
@@ -126,12 +136,16 @@
 	}
 	message := toucantransport.NewMessage(request.GetId(), request.GetMethod(), request.GetUri(), request.GetHost(), header, request.GetBody())
 	d := f.newDispatch(message, route, log, start.Add(time.Duration(request.GetLimit())))
+	defer d.release()
 	d.tracker.SoftDeadline = start.Add(time.Duration(request.GetDue()))
+	_, known := f.Targets.DeparturesSince(math.MaxUint64)
 	d.run(ctx)
 	var w responseBuffer
 	d.respond(&w)
+	departures, _ := f.Targets.DeparturesSince(known)
 	return stream.Send(&toucanpb.GatherReply{
 		Status: int32(w.status), Fields: headerFields(w.header), Body: w.body, Why: log.reason, Missing: int32(log.missing),
+		Departures: departureMessages(departures),
 	})
 }
 
--- a/toucanstair/toucanforward/gateway_test.go
+++ b/toucanstair/toucanforward/gateway_test.go
@@ -131,6 +131,32 @@
 	require.ErrorIs(t, err, toucangateway.ErrNotConnected)
 }
 
+// Guards against a request that fails because the host that gathers it is no longer
+// listed: its entry may have lapsed while it was only slow to renew it.
+func TestGatheringGoesOnWhenTheHostIsUnlisted(t *testing.T) {
+	arrived, release := make(chan struct{}, 1), make(chan struct{})
+	strong := newTestHost(1, func(toucanreplica.ID, int) behavior {
+		arrived <- struct{}{}
+		<-release
+		return behavior{}
+	})
+	strong.route.MaxAttempts, strong.route.LatencyObjective, strong.route.Timeout = 1, 20*time.Second, 20*time.Second
+	weak := newTestHost(1, fastTarget)
+	weak.route.Timeout = 20 * time.Second
+	address, _ := serveGateway(t, strong, &atomic.Bool{})
+	delegateTo(t, weak, address)
+	status := make(chan int, 1)
+	go func() {
+		w, _ := weak.get(context.Background())
+		status <- w.Code
+	}()
+	<-arrived
+	weak.Delegation.Client.(*toucangateway.Client).Retain(nil)
+	close(release)
+	require.Equal(t, http.StatusOK, <-status)
+	require.Zero(t, weak.targets.total(weak.targets.received))
+}
+
 // Guards against a hop that is missing in a trace or has the wrong parent.
 func TestEachHopIsTraced(t *testing.T) {
 	recorder := tracetest.NewSpanRecorder()
--- a/toucanstair/toucanforward/leg.go
+++ b/toucanstair/toucanforward/leg.go
@@ -74,6 +74,7 @@
 	done           bool               // the response has arrived
 	abandoned      bool               // no response is expected any more
 	noTarget       bool               // the service had no target when the request started
+	availableAt    time.Time          // when its first target is available again; set if it was abandoned for that
 	wakeAt         time.Time          // when to hedge or retry; zero: not scheduled
 	response       *toucantransport.Response
 	lastFailure    *toucantransport.Response // last complete response that was not a success
@@ -107,16 +108,24 @@
 	d.startAttempt(i, t, now)
 }
 
-// scheduleRetry schedules another try at targets that are busy or temporarily
-// unreachable. It abandons the leg if there are none or the wait limit has
-// passed.
+// scheduleRetry schedules another try at targets that are busy, paused or temporarily
+// unreachable. It abandons the leg if there are none or the wait limit has passed, and
+// at once if no other leg is in flight and none is available within the limit. With
+// other legs in flight, which may run, a request that is given up counts as possibly run.
 func (d *dispatch) scheduleRetry(l *leg, targets []*toucanbalancer.Target, now time.Time) {
-	if !d.f.Picker.AnyAllowed(targets, d.constraints(l, l.tried)) {
+	available, ok := d.f.Picker.AvailableAt(targets, d.constraints(l, l.tried), now)
+	if !ok {
 		d.abandon(l)
 		return
 	}
 	at := now.Add(refusedRetryDelay)
+	if d.inFlight == 0 && available.After(at) {
+		at = available
+	}
 	if at.After(d.waitLimit(l)) {
+		if available.After(now) {
+			l.availableAt = available
+		}
 		d.abandon(l)
 		return
 	}
@@ -138,11 +147,16 @@
 }
 
 // waitLimit returns until when a leg waits for a target: for 1/waitDivisor of the
-// latency objective, after which it is better that the caller retries. If the
+// latency objective, or of the time to the deadline if the route has no objective,
+// after which it is better that the caller retries. If the
 // targets of a fan-out's leg are busy, it waits until the soft deadline if that is
 // later. No leg waits beyond the request's deadline.
 func (d *dispatch) waitLimit(l *leg) time.Time {
-	until := d.log.start.Add(d.route.LatencyObjective / waitDivisor)
+	objective := d.route.LatencyObjective
+	if objective <= 0 {
+		objective = d.deadline.Sub(d.log.start)
+	}
+	until := d.log.start.Add(objective / waitDivisor)
 	if d.route.FansOut() && l.targetBusy && d.tracker.SoftDeadline.After(until) {
 		until = d.tracker.SoftDeadline
 	}
@@ -190,7 +204,7 @@
 	}
 	if stats.Latency == 0 && d.tracker.SoftDeadline.After(now) {
 		constraints := d.constraints(l, l.excluded())
-		if other, expectedOther := d.f.Picker.Pick(d.f.Targets.Candidates(l.service), constraints, now); other != nil {
+		if other, expectedOther := d.f.Picker.Estimate(d.f.Targets.Candidates(l.service), constraints, now); other != nil {
 			delay = min(delay, d.tracker.SoftDeadline.Sub(now)-expectedOther-hedgeMargin)
 		}
 	}
@@ -243,6 +257,7 @@
 func (d *dispatch) handleResult(result attemptResult, now time.Time) {
 	l := &d.legs[result.leg]
 	l.inFlight--
+	d.responses = append(d.responses, result.response)
 	if l.done {
 		return
 	}
@@ -351,6 +366,8 @@
 			t.Stats.RecordQueueLength(now, n)
 		}
 	}
+	f.observeDeparture(t, result.response, now)
+	f.observeRequestedPause(t, result.response, now)
 	if text := result.response.Header.Get(f.Headers.ColdRemaining); text != "" {
 		if ms, err := strconv.ParseInt(text, 10, 32); err == nil {
 			t.SetColdRemaining(now, time.Duration(ms)*time.Millisecond)
--- a/toucanstair/toucanforward/response.go
+++ b/toucanstair/toucanforward/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -76,8 +77,28 @@
 	return false
 }
 
+// servableIn returns the time until so many abandoned legs have a target again that the
+// request can be served, and false if that is not known.
+func (d *dispatch) servableIn(now time.Time) (time.Duration, bool) {
+	var waits []time.Duration
+	for i := range d.legs {
+		if at := d.legs[i].availableAt; !at.IsZero() {
+			waits = append(waits, at.Sub(now))
+		}
+	}
+	needed := d.tracker.MinShards() - d.tracker.Remaining()
+	if needed < 1 || needed > len(waits) {
+		return 0, false
+	}
+	slices.Sort(waits)
+	return waits[needed-1], true
+}
+
 // refusalReason returns when the caller may retry, and why nothing ran.
 func (d *dispatch) refusalReason() (time.Duration, string) {
+	if wait, ok := d.servableIn(time.Now()); ok {
+		return max(wait, retryAfterOverload), "too many targets are paused"
+	}
 	for i := range d.legs {
 		l := &d.legs[i]
 		if l.abandoned && l.reachedTarget {
--- a/toucanstair/toucangateway/client.go
+++ b/toucanstair/toucangateway/client.go
@@ -25,8 +25,11 @@
 // about a millisecond.
 const acceptTimeout = 40 * time.Millisecond
 
-// maxMessageBytes bounds a received message.
-const maxMessageBytes = 8 << 20
+// maxMessageBytes and maxHeaderBytes bound a received message and its header.
+const (
+	maxMessageBytes = 8 << 20
+	maxHeaderBytes  = 64 << 10
+)
 
 // TraceparentKey is the gRPC metadata key that carries the sender's trace context.
 const TraceparentKey = "traceparent"
@@ -46,17 +49,26 @@
 // Client holds the connections to other hosts. The zero value is ready to use.
 type Client struct {
 	mu    sync.Mutex
-	conns map[string]*grpc.ClientConn // by address
+	conns map[string]*peerConn // by address
+}
+
+// peerConn is a connection to a host and the number of calls on it, guarded by
+// Client.mu.
+type peerConn struct {
+	*grpc.ClientConn
+	calls   int
+	removed bool // not in Client.conns any more; closed when the last call ends
 }
 
 // Gather delegates a request to the host at an address and returns the response that
 // that host gathers. ErrNotAccepted and ErrNotConnected mean that the host has sent
 // nothing to targets; after any other error it may have.
 func (c *Client) Gather(ctx context.Context, address string, r *toucanpb.GatherRequest) (*toucanpb.GatherReply, error) {
-	conn, err := c.conn(address)
+	conn, end, err := c.beginCall(address)
 	if err != nil {
 		return nil, errors.Join(ErrNotAccepted, err)
 	}
+	defer end()
 	if conn.GetState() != connectivity.Ready {
 		conn.Connect()
 		return nil, ErrNotConnected
@@ -99,35 +111,54 @@
 	return metadata.AppendToOutgoingContext(ctx, TraceparentKey, carrier[TraceparentKey])
 }
 
-// Retain closes the connections to hosts that are not among the peers.
+// Retain closes the connections to hosts that are not among the peers. A connection with
+// calls is closed when they have ended: a host that is no longer listed may only have
+// been slow to renew its entry, and still gathers its requests.
 func (c *Client) Retain(peers []toucansource.Peer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for address, conn := range c.conns {
-		if !slices.ContainsFunc(peers, func(p toucansource.Peer) bool { return p.Address == address }) {
-			conn.Close()
-			delete(c.conns, address)
+		if slices.ContainsFunc(peers, func(p toucansource.Peer) bool { return p.Address == address }) {
+			continue
 		}
+		delete(c.conns, address)
+		conn.removed = true
+		conn.closeIfUnused()
+	}
+}
+
+// closeIfUnused closes a removed connection that has no calls.
+func (c *peerConn) closeIfUnused() {
+	if c.removed && c.calls == 0 {
+		_ = c.Close() // it fails only if the connection is closed already
 	}
 }
 
-// conn returns the connection to an address, which it creates if there is none.
-func (c *Client) conn(address string) (*grpc.ClientConn, error) {
+// beginCall returns the connection to an address, which it creates if there is none, and
+// a function that ends the call.
+func (c *Client) beginCall(address string) (*grpc.ClientConn, func(), error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if conn := c.conns[address]; conn != nil {
-		return conn, nil
-	}
-	conn, err := grpc.NewClient("passthrough:///"+address,
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithContextDialer(toucantransport.Dial),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)))
-	if err != nil {
-		return nil, err
-	}
-	if c.conns == nil {
-		c.conns = make(map[string]*grpc.ClientConn)
+	conn := c.conns[address]
+	if conn == nil {
+		created, err := grpc.NewClient("passthrough:///"+address,
+			grpc.WithTransportCredentials(insecure.NewCredentials()),
+			grpc.WithContextDialer(toucantransport.Dial), grpc.WithMaxHeaderListSize(maxHeaderBytes),
+			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)))
+		if err != nil {
+			return nil, nil, err
+		}
+		if c.conns == nil {
+			c.conns = make(map[string]*peerConn)
+		}
+		conn = &peerConn{ClientConn: created}
+		c.conns[address] = conn
 	}
-	c.conns[address] = conn
-	return conn, nil
+	conn.calls++
+	return conn.ClientConn, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		conn.calls--
+		conn.closeIfUnused()
+	}, nil
 }
--- a/toucanstair/toucangather/tracker.go
+++ b/toucanstair/toucangather/tracker.go
@@ -38,6 +38,9 @@
 // Received returns the number of shards whose response has arrived.
 func (t *Tracker) Received() int { return t.received }
 
+// Remaining returns the number of shards that have responded or still can.
+func (t *Tracker) Remaining() int { return t.Shards - t.lost }
+
 // MinShards returns the number of shards that a response needs, at least 1.
 func (t *Tracker) MinShards() int {
 	// The margin keeps floating-point error from rounding up a whole number of
--- a/toucanstair/toucanserver/server.go
+++ b/toucanstair/toucanserver/server.go
@@ -31,6 +31,7 @@
 	"toucanstair.example/toucanstair/toucanguard"
 	"toucanstair.example/toucanstair/toucanmirror"
 	"toucanstair.example/toucanstair/toucanplacement"
+	"toucanstair.example/toucanstair/toucanquota"
 	"toucanstair.example/toucanstair/toucanregistration"
 	"toucanstair.example/toucanstair/toucanretry"
 	"toucanstair.example/toucanstair/toucanrollout"
@@ -46,6 +47,11 @@
 	maxHeaderTimeout = 60 * time.Second
 	maxIdleTimeout   = 10 * time.Minute
 	maxHeaderBytes   = 256 << 10 // bytes
+	// maxPeerRequestBytes and maxPeerHeaderBytes bound a request of another host, and
+	// maxPeerStreams its concurrent ones.
+	maxPeerRequestBytes = 1 << 20  // bytes
+	maxPeerHeaderBytes  = 64 << 10 // bytes
+	maxPeerStreams      = 2048
 	// drainDelay is how long callers may still open connections after a shutdown
 	// began: the load balancer probes each second and needs two failed probes.
 	drainDelay = 2600 * time.Millisecond
@@ -55,6 +61,10 @@
 	// runtimeMemoryShare is the fraction of the memory limit that the Go runtime may
 	// use.
 	runtimeMemoryShare = 0.7
+	// messageMemoryDivisor sets how many bytes of requests and responses are held: the
+	// memory limit divided by it. Growing buffers and parsed headers take several times
+	// the bytes of a message.
+	messageMemoryDivisor = 12
 	// slackShare and ratioShare are the fractions of the operators' retry budget
 	// that are used. The rest is for restarted hosts, whose new buckets start with
 	// tokens.
@@ -129,7 +139,9 @@
 	workCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	targets := &toucanbalancer.TargetSet{}
-	transport := &toucantransport.Transport{Headers: s.Headers}
+	memory := &toucanquota.Quota{Limit: settings.MemoryLimit / messageMemoryDivisor}
+	metrics.GetOrCreateGauge("toucan_message_memory_bytes", func() float64 { return float64(memory.Used()) })
+	transport := &toucantransport.Transport{Headers: s.Headers, Memory: memory}
 	self := toucansource.Peer{ID: settings.Name, Zone: settings.Zone, Address: settings.PeerAddress, CPUMillis: settings.CPUMillis}
 	mirror := &toucanmirror.Mirror{}
 	gatewayClient := &toucangateway.Client{}
@@ -152,6 +164,7 @@
 			return transport.HasIdleConnection(t.ID, t.Address)
 		}},
 		RetryBudget:    retryBudget,
+		Memory:         memory,
 		ShardedShare:   placer.ShardedShare,
 		UnshardedShare: placer.EvenShare,
 		Delegation:     &toucanforward.Delegation{Placer: placer, Client: gatewayClient},
@@ -159,7 +172,7 @@
 	}
 	workersDone := []<-chan error{follower.Run(workCtx), rollouts.Run(workCtx)}
 	if settings.PeerAddress != "" {
-		done, err := s.servePeers(workCtx, mirror, &toucanforward.Gateway{Forwarder: forwarder, RulesAt: follower.RulesAt}, rollouts)
+		done, err := s.servePeers(workCtx, &toucanfeed.Server{Mirror: mirror, Departures: targets}, &toucanforward.Gateway{Forwarder: forwarder, RulesAt: follower.RulesAt}, rollouts)
 		if err != nil {
 			return err
 		}
@@ -257,13 +270,16 @@
 
 // servePeers serves gRPC calls of the other hosts until ctx ends. The channel
 // receives the result of the server.
-func (s *Server) servePeers(ctx context.Context, mirror *toucanmirror.Mirror, gateway *toucanforward.Gateway, rollouts *toucanrollout.Manager) (<-chan error, error) {
+func (s *Server) servePeers(ctx context.Context, feed *toucanfeed.Server, gateway *toucanforward.Gateway, rollouts *toucanrollout.Manager) (<-chan error, error) {
 	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.Settings.PeerAddress)
 	if err != nil {
 		return nil, err
 	}
-	server := grpc.NewServer()
-	toucanpb.RegisterFeedServer(server, &toucanfeed.Server{Mirror: mirror})
+	server := grpc.NewServer(
+		grpc.MaxRecvMsgSize(maxPeerRequestBytes), grpc.MaxHeaderListSize(maxPeerHeaderBytes), grpc.MaxConcurrentStreams(maxPeerStreams),
+		grpc.UnaryInterceptor(recoverUnary(s.Log)), grpc.StreamInterceptor(recoverStream(s.Log)),
+	)
+	toucanpb.RegisterFeedServer(server, feed)
 	toucanpb.RegisterGatewayServer(server, gateway)
 	toucanpb.RegisterPeerServer(server, peerServer{rollouts: rollouts})
 	done := make(chan error, 1)
