Keep a replica's connection when the number of owned slots changes

Cause: the limit of connections followed the number of slots that a host owns, and another limit made a new transport with new connections. After each change of the zone view a replica in cold start had the former connection and the new one for a moment. TestConnectionOutlivesChangeOfSlots saw 4 connections in place of 1.

Change: the limit is one for each slot of the replica and one for health requests; slots bound the connections in use.

--- a/toucanstair/toucandispatch/dispatcher.go
+++ b/toucanstair/toucandispatch/dispatcher.go
@@ -245,7 +245,7 @@
 	return &legRun{
 		dispatcher: d, leg: leg, revision: catalog.Revision(), candidates: candidates,
 		criteria: toucanselector.Criteria{Index: leg.GetIndex(), Version: version},
-		slots:    int(max(1, service.GetSlots())),
+		slots:    slotCount(service),
 		results:  make(chan attemptResult, maxAttempts),
 	}, nil
 }
--- a/toucanstair/toucandispatch/dispatcher_test.go
+++ b/toucanstair/toucandispatch/dispatcher_test.go
@@ -38,7 +38,8 @@
 	self, owner *toucanpb.Member
 	lease       atomic.Bool
 	catalog     *toucancatalog.Catalog
-	newer       *toucancatalog.Catalog // in effect once it is waited for; nil: none arrives
+	others      map[int]*toucanpb.Member // owners of slots other than owner
+	newer       *toucancatalog.Catalog   // in effect once it is waited for; nil: none arrives
 }
 
 func (z *zone) Self() *toucanpb.Member          { return z.self }
@@ -54,7 +55,12 @@
 	return z.catalog
 }
 
-func (z *zone) Owner(toucanreplica.ID, int) (*toucanpb.Member, bool) { return z.owner, true }
+func (z *zone) Owner(_ toucanreplica.ID, slot int) (*toucanpb.Member, bool) {
+	if m := z.others[slot]; m != nil {
+		return m, true
+	}
+	return z.owner, true
+}
 
 func (z *zone) MayUse(toucanreplica.ID, int) bool { return z.owner == z.self }
 
@@ -64,6 +70,7 @@
 type target struct {
 	executed    atomic.Int64
 	connections atomic.Int64 // open ones
+	accepted    atomic.Int64 // connections in all
 	respond     func(w http.ResponseWriter, r *http.Request) bool
 }
 
@@ -98,6 +105,7 @@
 			switch state {
 			case http.StateNew:
 				fakeTarget.connections.Add(1)
+				fakeTarget.accepted.Add(1)
 			case http.StateClosed:
 				fakeTarget.connections.Add(-1)
 			}
@@ -243,6 +251,23 @@
 	require.Eventually(t, func() bool { return open() == 0 }, 5*time.Second, time.Millisecond)
 }
 
+// Guards against a second connection to a replica in cold start because the number of
+// slots that this host owns has changed.
+func TestConnectionOutlivesChangeOfSlots(t *testing.T) {
+	f := newFixture(t, 1, 1, nil)
+	rules := f.zone.catalog.Rules()
+	rules.Services[0].Slots = 2
+	f.zone.catalog = toucancatalog.New(rules)
+	for i := range 4 {
+		f.zone.others = map[int]*toucanpb.Member{}
+		if i%2 == 1 {
+			f.zone.others[1] = &toucanpb.Member{Id: "h1"}
+		}
+		require.Equal(t, toucanpb.Outcome_OUTCOME_DONE, f.Run(t.Context(), newLeg(0)).GetOutcome())
+	}
+	require.EqualValues(t, 1, f.targets[0].accepted.Load())
+}
+
 // Guards against hedges and retries above 5% of the legs plus 20 when everything is
 // slow or fails, and against results that count too few requests.
 func TestExtraLoadIsBounded(t *testing.T) {
--- a/toucanstair/toucandispatch/health.go
+++ b/toucanstair/toucandispatch/health.go
@@ -81,7 +81,7 @@
 	owned := make(map[string]bool)
 	for _, s := range catalog.Rules().GetServices() {
 		for _, r := range s.GetReplicas() {
-			if toucanzone.Name(r.GetZone()) == d.Zone && d.maxConnections(toucanreplica.ID(r.GetId()), s) > 0 {
+			if toucanzone.Name(r.GetZone()) == d.Zone && d.ownsSlot(toucanreplica.ID(r.GetId()), s) {
 				owned[r.GetAddress()] = true
 			}
 		}
@@ -110,7 +110,7 @@
 		}
 		defer permit.Cancel()
 	}
-	reply, err := d.Exchange.Health(ctx, r.GetAddress(), d.maxConnections(id, s))
+	reply, err := d.Exchange.Health(ctx, r.GetAddress(), maxConnections(s))
 	if err != nil {
 		d.log().Debug("health not read", zap.String("replica", string(id)), zap.Error(err))
 		return
--- a/toucanstair/toucandispatch/serve.go
+++ b/toucanstair/toucandispatch/serve.go
@@ -68,7 +68,7 @@
 		return res, err
 	}
 	reply, err := d.Exchange.Do(ctx, toucanexchange.Request{
-		Address: replica.GetAddress(), MaxConnections: d.maxConnections(id, service), Leg: leg, MaySend: d.Membership.LeaseHeld,
+		Address: replica.GetAddress(), MaxConnections: maxConnections(service), Leg: leg, MaySend: d.Membership.LeaseHeld,
 	})
 	f := toucanfault.As(err)
 	if claim != nil && f != nil && f.Outcome == toucanpb.Outcome_OUTCOME_NOTRUN {
@@ -130,23 +130,30 @@
 	return d.Claims.Acquire(ctx, toucanservice.Name(leg.GetService()), leg.GetKey(), leg.GetQueryId())
 }
 
-// maxConnections returns the limit of connections to a replica: one for each slot
-// of this host and one for health requests, within the service's limit. It is 0 if
-// this host owns no slot.
-func (d *Dispatcher) maxConnections(id toucanreplica.ID, service *toucanpb.Service) int {
-	self, n := d.Membership.Self().GetId(), 0
-	for i := range int(max(1, service.GetSlots())) {
+// maxConnections returns the limit of connections to a replica of a service: one for each
+// slot and one for health requests, within the service's limit. It does not depend on how
+// many slots this host owns, because another limit needs other connections, and a replica
+// in cold start would have the former one and the new one for a moment. Slots bound the
+// connections in use.
+func maxConnections(service *toucanpb.Service) int {
+	n := slotCount(service) + 1
+	if limit := int(service.GetConnections()); limit > 0 {
+		return min(n, limit)
+	}
+	return n
+}
+
+func slotCount(service *toucanpb.Service) int { return int(max(1, service.GetSlots())) }
+
+// ownsSlot reports whether this host owns a slot of a replica.
+func (d *Dispatcher) ownsSlot(id toucanreplica.ID, service *toucanpb.Service) bool {
+	self := d.Membership.Self().GetId()
+	for i := range slotCount(service) {
 		if m, ok := d.Membership.Owner(id, i); ok && m.GetId() == self {
-			n++
+			return true
 		}
 	}
-	if n == 0 {
-		return 0
-	}
-	if limit := int(service.GetConnections()); limit > 0 {
-		return min(n+1, limit)
-	}
-	return n + 1
+	return false
 }
 
 // recordReply records the headers of a reply, and reports its code and duration to
