Bring changes of the store to all hosts of a large fleet in time

Change: - After a reply that may be cut off the next watch follows at once, with a short hold, and the copy keeps its age until a shorter reply confirms it. - The store confirms a copy at least each hold, also after a pause, and confirmations are passed on at once. The time of a message counts for the age, which otherwise falls with each hop. - A host whose copy is older than its source should let it be follows up to four backups beside it, then the first hosts of each zone read the store. - One host of a region reads the store in place of one of each zone.

--- a/toucanstair/toucanfeed/client.go
+++ b/toucanstair/toucanfeed/client.go
@@ -40,10 +40,13 @@
 	RecordDeparture(d toucanbalancer.Departure)
 }
 
+// Client follows the feeds of other hosts. The zero value is ready for use.
+type Client struct{}
+
 // Follow streams the changes after a revision from the host at an address to a
 // receiver. It returns an error when the feed fails, is silent for MaxSilence or is older
 // than MaxAge; the latter is a *StaleError.
-func Follow(ctx context.Context, address string, after uint64, l Limits, receiver Receiver) error {
+func (Client) Follow(ctx context.Context, address string, after uint64, l Limits, receiver Receiver) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	conn, err := grpc.NewClient("passthrough:///"+address,
@@ -73,7 +76,7 @@
 		for _, it := range r.GetRecords() {
 			b.Items = append(b.Items, toucanmirror.Item{Key: it.GetKey(), Value: it.GetValue(), Revision: it.GetRevision(), Deleted: it.GetGone()})
 		}
-		receiver.ApplyBatch(b, time.Now().Add(-age))
+		receiver.ApplyBatch(b, time.Now().Add(-age-maxTransferTime))
 		for _, d := range r.GetDepartures() {
 			receiver.RecordDeparture(toucanbalancer.Departure{Target: toucanreplica.ID(d.GetTarget()), StartMillis: d.GetStart()})
 		}
--- a/toucanstair/toucanfeed/feed_test.go
+++ b/toucanstair/toucanfeed/feed_test.go
@@ -71,7 +71,7 @@
 	batches := make(chan toucanmirror.Batch, 100)
 	end := make(chan error, 1)
 	go func() {
-		end <- toucanfeed.Follow(ctx, address, 0, limits, receiver{batch: func(b toucanmirror.Batch, confirmed time.Time) {
+		end <- toucanfeed.Client{}.Follow(ctx, address, 0, limits, receiver{batch: func(b toucanmirror.Batch, confirmed time.Time) {
 			if time.Since(confirmed) < time.Minute && len(b.Items) > 0 {
 				batches <- b
 			}
@@ -101,7 +101,7 @@
 	received := make(chan toucanbalancer.Departure, 10)
 	end := make(chan error, 1)
 	go func() {
-		end <- toucanfeed.Follow(ctx, address, 0, limits, receiver{departure: func(d toucanbalancer.Departure) { received <- d }})
+		end <- toucanfeed.Client{}.Follow(ctx, address, 0, limits, receiver{departure: func(d toucanbalancer.Departure) { received <- d }})
 	}()
 	require.Equal(t, before, <-received)
 	targets.MarkLeaving(after, time.Now())
@@ -117,7 +117,7 @@
 func TestFollowFailsOnStaleFeed(t *testing.T) {
 	var m toucanmirror.Mirror
 	m.Apply(toucanmirror.Batch{Full: true, Revision: 5}, time.Now().Add(-time.Hour))
-	err := toucanfeed.Follow(t.Context(), serve(t, &m), 5, limits, receiver{})
+	err := toucanfeed.Client{}.Follow(t.Context(), serve(t, &m), 5, limits, receiver{})
 	var stale *toucanfeed.StaleError
 	require.ErrorAs(t, err, &stale)
 	require.Greater(t, stale.Age, 59*time.Minute)
@@ -129,5 +129,5 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { l.Close() })
 	short := toucanfeed.Limits{MaxSilence: 50 * time.Millisecond, MaxAge: time.Minute}
-	require.Error(t, toucanfeed.Follow(t.Context(), l.Addr().String(), 0, short, receiver{}))
+	require.Error(t, toucanfeed.Client{}.Follow(t.Context(), l.Addr().String(), 0, short, receiver{}))
 }
--- a/toucanstair/toucanfeed/server.go
+++ b/toucanstair/toucanfeed/server.go
@@ -15,6 +15,10 @@
 const (
 	// keepaliveInterval is the longest time between two messages of a feed.
 	keepaliveInterval = 500 * time.Millisecond
+	// maxTransferTime is the time that a message may take. It counts for the age of the
+	// copy, which would otherwise get younger with each hop, and without end between two
+	// hosts that follow each other.
+	maxTransferTime = 20 * time.Millisecond
 	// maxMessageBytes bounds a message; the largest one is a full copy of the
 	// store's keys.
 	maxMessageBytes = 32 << 20
--- a/toucanstair/toucanfollower/follower.go
+++ b/toucanstair/toucanfollower/follower.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -32,19 +31,23 @@
 const (
 	// watchShare is how long the store may hold a watch, as a share of
 	// MaxPropagation. A watch on a hung connection ends only after this time
-	// and watchSlack.
-	watchShare = 0.4
+	// and watchSlack. In a fleet of largeFleet hosts or more it is largeWatchShare: few of
+	// them read the store, and many depend on each.
+	watchShare      = 0.4
+	largeWatchShare = 0.25
+	largeFleet      = 40
 	// watchSlack is the additional time that a watch may take.
 	watchSlack  = 1200 * time.Millisecond
 	listTimeout = 3 * time.Second
 	// pauseShare is the pause between two watches, as a share of
-	// MaxPropagation. Targets send heartbeats about once a second, and the
-	// pause lets one call return many of them, because the store limits the
-	// number of calls.
+	// MaxPropagation. It lets one call return several changes, because the store
+	// limits the number of calls.
 	pauseShare = 0.28
-	// backlogThreshold is the number of changes in a reply at which a follower
-	// that catches up after a failure expects that more are pending.
-	backlogThreshold = 20
+	// minCutOffItems and minCutOffBytes are the sizes of a reply from which on the store may
+	// have cut it off: its replies hold 50 changes, or 1 MB in its encoding. The next watch
+	// then follows without a pause.
+	minCutOffItems = 45
+	minCutOffBytes = 256 << 10
 	// catchUpHold is how long the store may hold a watch for the changes since a list. There
 	// are some already, or none.
 	catchUpHold = time.Millisecond
@@ -68,15 +71,16 @@
 	// maxFeedSilence is how long a feed may be silent; it sends a message every
 	// 500 ms.
 	maxFeedSilence = 1400 * time.Millisecond
-	// maxFeedAgeShare is the largest age of a feed, as a share of
-	// MaxPropagation: one pause, an empty watch and the transfer.
+	// maxFeedAgeShare is the largest age of the best feed, as a share of
+	// MaxPropagation: one pause, an empty watch and the transfer. Meanwhile backups
+	// supply what it lacks.
 	maxFeedAgeShare = 0.8
 )
 
 var (
-	calls    = metrics.NewCounter("toucan_follow_calls_total")
-	failures = metrics.NewCounter("toucan_follow_failures_total")
-	feeds    = metrics.NewCounter("toucan_follow_feeds_total")
+	calls         = metrics.NewCounter("toucan_follow_calls_total")
+	failures      = metrics.NewCounter("toucan_follow_failures_total")
+	feedsFollowed = metrics.NewCounter("toucan_follow_feeds_total")
 )
 
 // ErrCompacted means that the store has compacted the requested changes, so
@@ -119,12 +123,19 @@
 	ApplyStoredState(s toucanrollout.State)
 }
 
+// feeds are the feeds of other hosts; toucanfeed.Client implements it.
+type feeds interface {
+	Follow(ctx context.Context, address string, after uint64, l toucanfeed.Limits, receiver toucanfeed.Receiver) error
+}
+
 // Follower maintains the state that the store holds. The exported fields are
 // set before Run.
 type Follower struct {
 	Store            Store
+	Feeds            feeds // nil: toucanfeed.Client
 	Decode           func(toucanmirror.Item) (Change, error)
 	Self             toucansource.Peer
+	ZoneRegions      toucanrules.ZoneRegions
 	MaxPropagation   time.Duration // bound on the time from a change in the store until it is in effect
 	Mirror           *toucanmirror.Mirror
 	Targets          *toucanbalancer.TargetSet
@@ -140,9 +151,10 @@
 	peers               atomic.Pointer[map[toucanhost.ID]toucansource.Peer]
 	listed              atomic.Bool
 	storeUncertainSince atomic.Int64           // when a call to the store last failed or recovered, Unix nanoseconds
-	listedStale         bool                   // the latest list call allowed stale items; the next one does not
 	disconnected        bool                   // no source has worked since the last failure
-	catchingUp          bool                   // changes made while the source was lost may be pending
+	primaryConfirmed    atomic.Int64           // when the store confirmed what the primary source last sent, Unix nanoseconds
+	readsStore          atomic.Bool            // the primary source is the store
+	primary             storeReader            // of the primary source
 	lastSignificant     map[string]Change      // by key
 	decoded             map[itemVersion]Change // items of the current batch
 }
@@ -201,6 +213,12 @@
 	end := make(chan error, 1)
 	var group sync.WaitGroup
 	group.Go(func() { f.follow(ctx) })
+	group.Go(func() { f.followBackups(ctx) })
+	group.Go(func() {
+		for ctx.Err() == nil {
+			f.recovering(func() { f.readStoreAsBackup(ctx) })
+		}
+	})
 	group.Go(func() { f.sweep(ctx) })
 	go func() {
 		group.Wait()
@@ -218,16 +236,17 @@
 		if skip > 0 && time.Now().After(fallbackUntil) {
 			skip = 0
 		}
-		sources := toucansource.Prioritize(f.Self, f.Peers())
+		sources := f.planner().Prioritize(f.Peers())
 		s := sources[min(skip, len(sources)-1)]
 		began := time.Now()
+		f.readsStore.Store(s.IsStore())
 		var err error
 		panicked := toucanpanic.Call(func() {
 			if s.IsStore() {
 				err = f.readStore(ctx, fallbackUntil)
 				return
 			}
-			feeds.Inc()
+			feedsFollowed.Inc()
 			err = f.followHost(ctx, s.Peer, skip > 0, fallbackUntil)
 		})
 		if panicked != nil {
@@ -259,7 +278,7 @@
 	if s.IsStore() {
 		f.storeUncertainSince.Store(time.Now().UnixNano())
 	}
-	f.disconnected, f.catchingUp = true, true
+	f.disconnected = true
 	f.Log.Warn("dependency lost", zap.String("source", sourceName(s)), zap.Uint64("revision", f.Mirror.Revision()),
 		zap.Duration("age", f.Mirror.Age(time.Now())), zap.Error(err))
 }
@@ -287,6 +306,26 @@
 	return d/2 + rand.N(d/2)
 }
 
+func (f *Follower) planner() toucansource.Planner {
+	return toucansource.Planner{Self: f.Self, Regions: f.ZoneRegions}
+}
+
+// watchHold returns how long the store may hold a watch.
+func (f *Follower) watchHold() time.Duration {
+	share := watchShare
+	if m := f.peers.Load(); m != nil && len(*m) >= largeFleet {
+		share = largeWatchShare
+	}
+	return time.Duration(share * float64(f.MaxPropagation))
+}
+
+func (f *Follower) feeds() feeds {
+	if f.Feeds == nil {
+		return toucanfeed.Client{}
+	}
+	return f.Feeds
+}
+
 // followHost follows another host until that fails or, if bounded is set, until
 // fallbackUntil, when a better source is tried.
 func (f *Follower) followHost(ctx context.Context, p toucansource.Peer, bounded bool, fallbackUntil time.Time) error {
@@ -297,7 +336,10 @@
 		defer cancel()
 	}
 	limits := toucanfeed.Limits{MaxSilence: maxFeedSilence, MaxAge: time.Duration(maxFeedAgeShare * float64(f.MaxPropagation))}
-	err := toucanfeed.Follow(feedCtx, p.Address, f.Mirror.Revision(), limits, feedReceiver{f, p})
+	if bounded {
+		limits.MaxAge = f.backupAge()
+	}
+	err := f.feeds().Follow(feedCtx, p.Address, f.Mirror.Revision(), limits, feedReceiver{f, p, !bounded})
 	if bounded && feedCtx.Err() != nil && ctx.Err() == nil {
 		return nil
 	}
@@ -308,10 +350,16 @@
 type feedReceiver struct {
 	follower *Follower
 	peer     toucansource.Peer
+	// best says that it is the best source. Two hosts that can't reach theirs may follow
+	// each other, so that such a feed does not show that backups can end.
+	best bool
 }
 
 func (r feedReceiver) ApplyBatch(b toucanmirror.Batch, confirmed time.Time) {
 	r.follower.apply(b, confirmed)
+	if r.best {
+		r.follower.primaryConfirmed.Store(confirmed.UnixNano())
+	}
 	r.follower.sourceRegained(toucansource.Source{Peer: r.peer})
 }
 
@@ -319,101 +367,6 @@
 	r.follower.Targets.MarkLeaving(d, time.Now())
 }
 
-// readStore reads the store until that fails or, after fallbackUntil, until
-// there is a better source.
-func (f *Follower) readStore(ctx context.Context, fallbackUntil time.Time) error {
-	for ctx.Err() == nil {
-		if err := f.readOnce(ctx); err != nil {
-			return err
-		}
-		f.sourceRegained(toucansource.Source{})
-		if first := toucansource.Prioritize(f.Self, f.Peers())[0]; !first.IsStore() && time.Now().After(fallbackUntil) {
-			return nil
-		}
-	}
-	return nil
-}
-
-// readOnce makes one call to the store: a list if there is no copy yet,
-// otherwise a watch.
-func (f *Follower) readOnce(ctx context.Context) error {
-	calls.Inc()
-	began := time.Now()
-	after := f.Mirror.Revision()
-	if after == 0 {
-		return f.list(ctx)
-	}
-	hold := time.Duration(watchShare * float64(f.MaxPropagation))
-	watchCtx, cancel := context.WithTimeout(ctx, hold+watchSlack)
-	defer cancel()
-	items, revision, err := f.Store.Watch(watchCtx, after, hold)
-	if errors.Is(err, ErrCompacted) {
-		f.Log.Info("the store has compacted its changes, listing again", zap.Uint64("after", after))
-		return f.list(ctx)
-	}
-	if err != nil {
-		return err
-	}
-	f.apply(toucanmirror.Batch{Items: items, Revision: revision}, time.Now())
-	if f.catchingUp {
-		f.catchingUp = len(items) >= backlogThreshold
-	} else if len(items) > 0 {
-		toucantimer.Wait(ctx, time.Duration(pauseShare*float64(f.MaxPropagation))-time.Since(began))
-	}
-	return nil
-}
-
-// list reads all items. The first list of a host may be stale; it is used only
-// together with the changes since, so that a restarted host does not use what was
-// withdrawn before its start.
-func (f *Follower) list(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
-	stale := f.Mirror.Revision() == 0 && !f.listedStale
-	f.listedStale = stale
-	items, revision, err := f.Store.List(ctx, stale)
-	if err == nil && stale {
-		items, revision, err = f.catchUp(ctx, items, revision)
-		if errors.Is(err, ErrCompacted) {
-			items, revision, err = f.Store.List(ctx, false)
-		}
-	}
-	if err != nil {
-		return err
-	}
-	f.apply(toucanmirror.Batch{Items: items, Full: true, Revision: revision}, time.Now())
-	return nil
-}
-
-// catchUp returns listed items with the changes since their revision, as many as
-// maxCatchUpCalls return. Without them the items must not be used.
-func (f *Follower) catchUp(ctx context.Context, items []toucanmirror.Item, revision uint64) ([]toucanmirror.Item, uint64, error) {
-	current := make(map[string]toucanmirror.Item, len(items))
-	for _, it := range items {
-		current[it.Key] = it
-	}
-	for n := 1; ; n++ {
-		calls.Inc()
-		changes, to, err := f.Store.Watch(ctx, revision, catchUpHold)
-		if err != nil {
-			return nil, 0, err
-		}
-		for _, it := range changes {
-			switch {
-			case it.Revision < current[it.Key].Revision:
-			case it.Deleted:
-				delete(current, it.Key)
-			default:
-				current[it.Key] = it
-			}
-		}
-		revision = max(revision, to)
-		if f.catchingUp = len(changes) >= backlogThreshold; !f.catchingUp || n == maxCatchUpCalls {
-			return slices.Collect(maps.Values(current)), revision, nil
-		}
-	}
-}
-
 // sweep removes expired targets until ctx ends.
 func (f *Follower) sweep(ctx context.Context) {
 	for toucantimer.Wait(ctx, sweepInterval) {
--- a/toucanstair/toucanfollower/follower_test.go
+++ b/toucanstair/toucanfollower/follower_test.go
@@ -29,6 +29,9 @@
 
 func (unavailable) Error() string { return "try later" }
 
+// maxEvents is the number of changes in a reply of the store.
+const maxEvents = 50
+
 // fakeStore is an in-memory store with configurable failures.
 type fakeStore struct {
 	mu            sync.Mutex
@@ -101,11 +104,14 @@
 		down, hung, changed := s.down, s.hung, s.changed
 		var out []toucanmirror.Item
 		for _, it := range s.log {
-			if it.Revision > after {
+			if it.Revision > after && len(out) < maxEvents {
 				out = append(out, it)
 			}
 		}
 		at, compactedTo := s.revision, s.compactedTo
+		if len(out) == maxEvents {
+			at = out[maxEvents-1].Revision
+		}
 		s.mu.Unlock()
 		switch {
 		case down:
--- a/toucanstair/toucanmirror/mirror.go
+++ b/toucanstair/toucanmirror/mirror.go
@@ -12,6 +12,11 @@
 // receiver that missed it needs no full copy.
 const removalRetention = time.Minute
 
+// announceInterval is how much later a confirmation has to be than the last one of which
+// receivers were told, so that they know the age of their copy. Small differences come
+// from the time that messages take.
+const announceInterval = 200 * time.Millisecond
+
 // Item is a key of the store with its value.
 type Item struct {
 	Key      string
@@ -41,6 +46,7 @@
 	forgottenTo uint64 // removals up to this revision may be forgotten
 	revision    uint64
 	confirmedAt time.Time // when the store confirmed the revision
+	announcedAt time.Time // confirmedAt when receivers were last woken
 	changed     chan struct{}
 }
 
@@ -92,7 +98,8 @@
 		m.confirmedAt = confirmed
 	}
 	m.forgetRemovals(confirmed)
-	if len(significant) > 0 {
+	if len(significant) > 0 || m.confirmedAt.Sub(m.announcedAt) > announceInterval {
+		m.announcedAt = m.confirmedAt
 		close(m.changed)
 		m.changed = make(chan struct{})
 	}
@@ -101,7 +108,7 @@
 
 // Since returns the significant changes after a revision, or all items if
 // removals after it may be forgotten, and a channel that is closed at the next
-// significant change.
+// significant change or confirmation.
 func (m *Mirror) Since(after uint64) (Batch, <-chan struct{}) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/toucanstair/toucanserver/server.go
+++ b/toucanstair/toucanserver/server.go
@@ -150,7 +150,7 @@
 		Store: s.Store, Gossip: gatewayClient, MinHosts: settings.MinHosts, Log: s.Log,
 	}
 	follower := &toucanfollower.Follower{
-		Store: s.Store, Decode: s.Decode, Self: self, MaxPropagation: settings.MaxPropagation, Mirror: mirror, Targets: targets, Rollouts: rollouts, Log: s.Log,
+		Store: s.Store, Decode: s.Decode, Self: self, ZoneRegions: settings.ZoneRegions, MaxPropagation: settings.MaxPropagation, Mirror: mirror, Targets: targets, Rollouts: rollouts, Log: s.Log,
 		OnTargetsRemoved: func() { transport.Retain(targets.Contains) },
 	}
 	rollouts.Peers = follower.Peers
--- a/toucanstair/toucansource/source_test.go
+++ b/toucanstair/toucansource/source_test.go
@@ -8,9 +8,13 @@
 
 	"toucanstair.example/core/toucanhost"
 	"toucanstair.example/core/toucanzone"
+	"toucanstair.example/toucanstair/toucanrules"
 	"toucanstair.example/toucanstair/toucansource"
 )
 
+// planner returns a planner for which each zone is a region.
+func planner(self toucansource.Peer) toucansource.Planner { return toucansource.Planner{Self: self} }
+
 func fleet(zones, hosts int) []toucansource.Peer {
 	var out []toucansource.Peer
 	for z := range zones {
@@ -31,7 +35,7 @@
 	peers[7].CPUMillis = 800
 	readers := map[toucanzone.Name]toucanhost.ID{}
 	for _, self := range peers {
-		if toucansource.Prioritize(self, peers)[0].IsStore() {
+		if planner(self).Prioritize(peers)[0].IsStore() {
 			require.Empty(t, readers[self.Zone], "two readers in zone %s", self.Zone)
 			readers[self.Zone] = self.ID
 		}
@@ -39,7 +43,7 @@
 	require.Len(t, readers, 6)
 	require.Equal(t, peers[7].ID, readers["z0"], "the host with the most CPU reads the store")
 	for _, self := range peers {
-		if first := toucansource.Prioritize(self, peers)[0]; !first.IsStore() {
+		if first := planner(self).Prioritize(peers)[0]; !first.IsStore() {
 			require.Equal(t, readers[self.Zone], first.Peer.ID)
 		}
 	}
@@ -50,7 +54,7 @@
 	peers := fleet(3, 4)
 	for _, self := range peers {
 		stores, far := 0, 0
-		for _, s := range toucansource.Prioritize(self, peers) {
+		for _, s := range planner(self).Prioritize(peers) {
 			switch {
 			case s.IsStore():
 				stores++
@@ -61,7 +65,54 @@
 		require.Equal(t, 1, stores)
 		require.Equal(t, 2, far)
 	}
-	alone := toucansource.Prioritize(peers[0], nil)
+	alone := toucansource.Planner{Self: peers[0]}.Prioritize(nil)
 	require.Len(t, alone, 1)
 	require.True(t, alone[0].IsStore())
 }
+
+// Guards against a store that is read by each zone where several zones are close
+// together: one host of a region reads it, and the first host of each other zone of the
+// region follows that one.
+func TestOneHostOfEachRegionReadsTheStore(t *testing.T) {
+	peers := fleet(6, 10)
+	regions := toucanrules.ZoneRegions{"z0": "x", "z1": "x", "z2": "y", "z3": "y", "z4": "w", "z5": "w"}
+	readers := map[toucanrules.Region]toucansource.Peer{}
+	for _, self := range peers {
+		if (toucansource.Planner{Self: self, Regions: regions}).Prioritize(peers)[0].IsStore() {
+			require.Empty(t, readers[regions[self.Zone]].ID)
+			readers[regions[self.Zone]] = self
+		}
+	}
+	require.Len(t, readers, 3)
+	for _, self := range peers {
+		planner := toucansource.Planner{Self: self, Regions: regions}
+		first := planner.Prioritize(peers)[0]
+		switch reader := readers[regions[self.Zone]]; {
+		case first.IsStore():
+		case planner.Rank(peers) == 0:
+			require.Equal(t, reader, first.Peer)
+		default:
+			require.Equal(t, self.Zone, first.Peer.Zone)
+		}
+	}
+}
+
+// Guards against backups that include the host itself, name a host twice, or leave out a
+// zone.
+func TestBackupsCoverAllZones(t *testing.T) {
+	peers := fleet(6, 10)
+	for _, self := range peers {
+		seen, zones := map[toucanhost.ID]bool{self.ID: true}, map[toucanzone.Name]bool{}
+		backups := planner(self).Backups(peers)
+		for i, p := range backups {
+			require.False(t, seen[p.ID], p.ID)
+			seen[p.ID] = true
+			if i < 5 {
+				require.NotEqual(t, self.Zone, p.Zone)
+			}
+			zones[p.Zone] = true
+		}
+		require.Len(t, zones, 6)
+	}
+	require.Empty(t, toucansource.Planner{Self: peers[0]}.Backups(nil))
+}
