Refuse at once for requested pauses only, and call callers back sooner

Found when the change was read again: the pause after a failed connection counted as a pause that all targets asked for, so a refusal could say Retry-After 2 s where 0.15 s was said before, though another host may reach the target. It does not count any more.

--- a/toucanstair/toucanbalancer/picker.go
+++ b/toucanstair/toucanbalancer/picker.go
@@ -90,8 +90,10 @@
 	return best, bestLatency
 }
 
-// AvailableAt returns when the first target that a request may go to is not paused any
-// more: now, if one is not paused. It reports false if the request may go to none.
+// AvailableAt returns when the pause ends that the first of the targets to which a request
+// may go has asked for: now, if one has asked for none. It reports false if the request
+// may go to none. The pause after a failed connection does not count, since it may end
+// earlier, and another host may reach the target.
 func (p *Picker) AvailableAt(ts []*Target, cons Constraints, now time.Time) (time.Time, bool) {
 	cons = cons.relaxedFor(ts)
 	var first time.Time
@@ -99,7 +101,7 @@
 		if !p.allowed(t, cons) {
 			continue
 		}
-		at := t.Stats.PausedUntil()
+		at := t.Stats.RequestedPauseEnd()
 		if !now.Before(at) {
 			return now, true
 		}
--- a/toucanstair/toucanbalancer/stats.go
+++ b/toucanstair/toucanbalancer/stats.go
@@ -136,11 +136,12 @@
 	}
 }
 
-// PausedUntil returns the end of the pauses, which may be in the past.
-func (s *Stats) PausedUntil() time.Time {
+// RequestedPauseEnd returns the end of the last pause that the target asked for, or the
+// zero time.
+func (s *Stats) RequestedPauseEnd() time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.pauseEnd()
+	return s.refusingUntil
 }
 
 func (s *Stats) pauseEnd() time.Time {
--- a/toucanstair/toucanforward/dispatch.go
+++ b/toucanstair/toucanforward/dispatch.go
@@ -128,9 +128,9 @@
 	}
 }
 
-// abandonUnserved abandons the legs whose service has no target, or whose targets are
-// all paused for longer than the leg may wait, so that a request that can't be served
-// is refused before anything is sent.
+// abandonUnserved abandons the legs whose service has no target, or whose targets have
+// all asked for a pause that is longer than the leg may wait, so that a request that
+// can't be served is refused before anything is sent.
 func (d *dispatch) abandonUnserved(now time.Time) {
 	for i := range d.legs {
 		l := &d.legs[i]
