Do not send a copy of the store that is too old for its receiver

A host that looks for a fresh backup tries several hosts; each sent what the receiver lacked, possibly a full copy, before the receiver saw its age. The request states the limit now. TestOldCopyIsNotSent failed before: one record was sent.

--- a/toucanstair/toucanfeed/client.go
+++ b/toucanstair/toucanfeed/client.go
@@ -58,7 +58,7 @@
 	defer conn.Close()
 	silenceTimer := time.AfterFunc(l.MaxSilence, cancel)
 	defer silenceTimer.Stop()
-	stream, err := toucanpb.NewFeedClient(conn).Follow(ctx, &toucanpb.FollowRequest{After: after})
+	stream, err := toucanpb.NewFeedClient(conn).Follow(ctx, &toucanpb.FollowRequest{After: after, Limit: int64(l.MaxAge)})
 	if err != nil {
 		return err
 	}
--- a/toucanstair/toucanfeed/feed_test.go
+++ b/toucanstair/toucanfeed/feed_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
 
 	"toucanstair.example/core/toucanpb"
 	"toucanstair.example/toucanstair/toucanbalancer"
@@ -123,6 +125,23 @@
 	require.Greater(t, stale.Age, 59*time.Minute)
 }
 
+// Guards against a copy that is sent although it is too old for the receiver.
+func TestOldCopyIsNotSent(t *testing.T) {
+	var m toucanmirror.Mirror
+	m.Apply(toucanmirror.Batch{Items: []toucanmirror.Item{{Key: "a", Revision: 5}}, Full: true, Revision: 5}, time.Now().Add(-time.Hour))
+	conn, err := grpc.NewClient(serve(t, &m), grpc.WithTransportCredentials(insecure.NewCredentials()))
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, conn.Close()) })
+	stream, err := toucanpb.NewFeedClient(conn).Follow(t.Context(), &toucanpb.FollowRequest{Limit: int64(time.Minute)})
+	require.NoError(t, err)
+	reply, err := stream.Recv()
+	require.NoError(t, err)
+	require.Empty(t, reply.GetRecords())
+	require.Greater(t, time.Duration(reply.GetAge()), time.Minute)
+	_, err = stream.Recv()
+	require.ErrorIs(t, err, io.EOF)
+}
+
 // Guards against a host that waits indefinitely on a silent feed.
 func TestFollowTimesOutOnSilentFeed(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/toucanstair/toucanfeed/server.go
+++ b/toucanstair/toucanfeed/server.go
@@ -40,11 +40,16 @@
 	Departures departures // may be nil
 }
 
-// Follow sends the changes after the requested revision as they occur, and every
+// Follow sends the changes after the requested revision as they occur, unless the mirror
+// is older than the receiver's limit at the start, and every
 // keepaliveInterval a message that may have no changes. Each message has the age
 // of the mirror and the departures that were not sent yet.
 func (s *Server) Follow(r *toucanpb.FollowRequest, stream grpc.ServerStreamingServer[toucanpb.FollowReply]) error {
 	after, sentDepartures := r.GetAfter(), uint64(0)
+	if age := s.Mirror.Age(time.Now()); r.GetLimit() > 0 && age > time.Duration(r.GetLimit()) {
+		// The receiver gives up an older copy, which may be large.
+		return stream.Send(&toucanpb.FollowReply{Revision: after, Age: int64(age)})
+	}
 	keepalive := time.NewTicker(keepaliveInterval)
 	defer keepalive.Stop()
 	for {
