--- a/toucanstair/toucanforward/forwarder.go
+++ b/toucanstair/toucanforward/forwarder.go
@@ -39,7 +39,8 @@
 	maxInFlight = 600
 	// The retryAfter values are the times in Retry-After. The list of targets is
 	// complete 2 s after the store is available again.
-	retryAfterNoConfig    = 100 * time.Millisecond // until a starting host has rules
+	// Most callers retry once, so the first value leaves time for all hosts to start.
+	retryAfterNoConfig    = 400 * time.Millisecond // until a starting host has rules
 	retryAfterOverload    = 60 * time.Millisecond  // until a full host or full targets accept requests again
 	retryAfterUnreachable = 150 * time.Millisecond // until a lost target may be back
 	retryAfterUnlisted    = 400 * time.Millisecond // until the list has targets of more shards
