Send whole copies of the store only to receivers that need them

Its store forgets its history (7 to 10 s), so each reader lists it anew. After a list a mirror could not tell what was removed before, and sent all items to every receiver, also to the four backups of each of 295 hosts.

Change: - A list leaves a gap: a receiver that had the mirror's former revision gets the changes, one inside the gap all items. - Backups send changes only. The first six hosts of a zone follow hosts of other zones, the others one of these six; pauses between tries double after two rounds, since the store may be away for everybody. - A host that starts at an empty store makes no call for the changes since its list.

TestListNeedsFullCopyOnlyWhereChangesAreUnknown, TestBackupSendsNoFullCopy and TestStartAtEmptyStoreNeedsNoCatchingUp fail without their mechanism.

--- a/toucanstair/toucanfeed/client.go
+++ b/toucanstair/toucanfeed/client.go
@@ -18,6 +18,8 @@
 type Limits struct {
 	MaxSilence time.Duration // without any message
 	MaxAge     time.Duration // since the store confirmed the other host's copy
+	// DeltasOnly makes Follow fail where the other host would send all items.
+	DeltasOnly bool
 }
 
 // StaleError is the error of a feed whose host has an outdated copy of the
@@ -58,7 +60,7 @@
 	defer conn.Close()
 	silenceTimer := time.AfterFunc(l.MaxSilence, cancel)
 	defer silenceTimer.Stop()
-	stream, err := toucanpb.NewFeedClient(conn).Follow(ctx, &toucanpb.FollowRequest{After: after, Limit: int64(l.MaxAge)})
+	stream, err := toucanpb.NewFeedClient(conn).Follow(ctx, &toucanpb.FollowRequest{After: after, Limit: int64(l.MaxAge), Deltas: l.DeltasOnly})
 	if err != nil {
 		return err
 	}
--- a/toucanstair/toucanfeed/feed_test.go
+++ b/toucanstair/toucanfeed/feed_test.go
@@ -9,7 +9,9 @@
 
 	"github.com/stretchr/testify/require"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
 
 	"toucanstair.example/core/toucanpb"
 	"toucanstair.example/toucanstair/toucanbalancer"
@@ -142,6 +144,19 @@
 	require.ErrorIs(t, err, io.EOF)
 }
 
+// Guards against a full copy, of up to 32 MB, to a host that follows a backup.
+func TestBackupSendsNoFullCopy(t *testing.T) {
+	var m toucanmirror.Mirror
+	put(&m, "a", 5, true)
+	received := 0
+	counting := receiver{batch: func(b toucanmirror.Batch, _ time.Time) { received += len(b.Items) }}
+	deltas := limits
+	deltas.DeltasOnly = true
+	err := toucanfeed.Client{}.Follow(t.Context(), serve(t, &m), 3, deltas, counting)
+	require.Equal(t, codes.FailedPrecondition, status.Code(err))
+	require.Zero(t, received)
+}
+
 // Guards against a host that waits indefinitely on a silent feed.
 func TestFollowTimesOutOnSilentFeed(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/toucanstair/toucanfeed/server.go
+++ b/toucanstair/toucanfeed/server.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"toucanstair.example/core/toucanpb"
 	"toucanstair.example/toucanstair/toucanbalancer"
@@ -54,6 +56,9 @@
 	defer keepalive.Stop()
 	for {
 		b, changed := s.Mirror.Since(after)
+		if b.Full && r.GetDeltas() {
+			return status.Error(codes.FailedPrecondition, "all items would have to be sent")
+		}
 		// An empty mirror, before its first list, is not a full copy.
 		if b.Revision == 0 {
 			b.Full = false
--- a/toucanstair/toucanfollower/backup.go
+++ b/toucanstair/toucanfollower/backup.go
@@ -32,19 +32,21 @@
 	// followerJitter spreads the backups of the hosts of a zone.
 	followerJitter = 100 * time.Millisecond
 	// rankDelay is how much longer each host of a zone waits than the one ranked before it
-	// before it reads the store beside its source, and maxBackupRank the last one to do so.
-	rankDelay     = 100 * time.Millisecond
-	maxBackupRank = 5
-	// maxBackups is how many hosts are followed at once as backups. Some of them may be as
-	// old.
+	// before it reads the store beside its source.
+	rankDelay = 100 * time.Millisecond
+	// maxBackups is how many hosts are followed at once as backups by a host that others may
+	// follow. Some of them may be as old. The other hosts follow one of their zone.
 	maxBackups = 4
 	// backupPauseDivisor shortens the pauses between watches of a host that reads the store
 	// as a backup, since its changes reach the others through one more host.
 	backupPauseDivisor = 2
 	// backupCheckInterval is the shortest interval between two checks of the age of the copy.
 	backupCheckInterval = 50 * time.Millisecond
-	// backupRetryInterval is the pause before the next backup is tried.
-	backupRetryInterval = 20 * time.Millisecond
+	// backupRetryInterval is the pause before the next backup is tried. Once all were tried
+	// twice it doubles with each further round, up to maxBackupRetryInterval, since the store
+	// may be out of reach of all hosts.
+	backupRetryInterval    = 20 * time.Millisecond
+	maxBackupRetryInterval = time.Second
 )
 
 // backupAge is the age of a copy from which on a host that reads the store follows backups,
@@ -86,13 +88,18 @@
 func (f *Follower) runBackups(ctx context.Context, hosts []toucansource.Peer) {
 	ctx, cancel := context.WithCancel(ctx)
 	f.Log.Info("source is old, backups followed", zap.Duration("age", f.primaryAge()), zap.Uint64("revision", f.Mirror.Revision()), zap.Int("hosts", len(hosts)))
+	parallel := maxBackups
+	if f.planner().Rank(f.Peers()) > toucansource.MaxReaderRank {
+		parallel = 1
+	}
 	var group sync.WaitGroup
-	var next atomic.Int64
-	for range min(maxBackups, len(hosts)) {
+	var tried atomic.Int64
+	for range min(parallel, len(hosts)) {
 		group.Go(func() {
 			for ctx.Err() == nil {
-				f.recovering(func() { f.followBackup(ctx, hosts[int(next.Add(1)-1)%len(hosts)]) })
-				toucantimer.Wait(ctx, backupRetryInterval)
+				n := int(tried.Add(1) - 1)
+				f.recovering(func() { f.followBackup(ctx, hosts[n%len(hosts)]) })
+				toucantimer.Wait(ctx, min(maxBackupRetryInterval, backupRetryInterval<<min(max(0, n/len(hosts)-1), 10)))
 			}
 		})
 	}
@@ -113,7 +120,7 @@
 // followBackup follows a host until that fails or its copy is too old.
 func (f *Follower) followBackup(ctx context.Context, p toucansource.Peer) {
 	feedsFollowed.Inc()
-	limits := toucanfeed.Limits{MaxSilence: maxFeedSilence, MaxAge: f.backupAge()}
+	limits := toucanfeed.Limits{MaxSilence: maxFeedSilence, MaxAge: f.backupAge(), DeltasOnly: true}
 	err := f.feeds().Follow(ctx, p.Address, f.Mirror.Revision(), limits, backupReceiver{f})
 	if ctx.Err() == nil {
 		failures.Inc()
@@ -161,7 +168,7 @@
 		return false
 	}
 	rank := f.planner().Rank(f.Peers())
-	return rank <= maxBackupRank && age > f.backupAge()+followerSlack+time.Duration(rank)*rankDelay
+	return rank <= toucansource.MaxReaderRank && age > f.backupAge()+followerSlack+time.Duration(rank)*rankDelay
 }
 
 // backupReceiver applies the messages of a backup.
--- a/toucanstair/toucanfollower/fleet_test.go
+++ b/toucanstair/toucanfollower/fleet_test.go
@@ -125,6 +125,9 @@
 		if b.Revision == 0 {
 			b.Full = false
 		}
+		if b.Full && l.DeltasOnly {
+			return unavailable{}
+		}
 		confirmed := time.Now().Add(-other.Mirror.Age(time.Now()))
 		<-time.After(latency)
 		if n.fleet.reaches(n.Self, other.Self) {
--- a/toucanstair/toucanfollower/follower_test.go
+++ b/toucanstair/toucanfollower/follower_test.go
@@ -376,3 +376,14 @@
 		require.NoError(t, <-end)
 	})
 }
+
+// Guards against a call of each host of a large fleet that brings nothing when they all
+// start for the first time.
+func TestStartAtEmptyStoreNeedsNoCatchingUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		startFollower(t, s)
+		<-time.After(100 * time.Millisecond)
+		require.Equal(t, 2, s.callCount(), "a list and the first watch")
+	})
+}
--- a/toucanstair/toucanfollower/storereader.go
+++ b/toucanstair/toucanfollower/storereader.go
@@ -99,14 +99,15 @@
 
 // list reads all items. The first list of a host may be stale; it is used only
 // together with the changes since, so that a restarted host does not use what was
-// withdrawn before its start.
+// withdrawn before its start. An empty list has nothing to use, and the next watch brings
+// all changes.
 func (f *Follower) list(ctx context.Context, r *storeReader) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	stale := f.Mirror.Revision() == 0 && !r.listedStale
 	r.listedStale = stale
 	items, revision, err := f.Store.List(ctx, stale)
-	if err == nil && stale {
+	if err == nil && stale && len(items) > 0 {
 		items, revision, err = f.catchUp(ctx, r, items, revision)
 		if errors.Is(err, ErrCompacted) {
 			items, revision, err = f.Store.List(ctx, false)
--- a/toucanstair/toucanmirror/mirror.go
+++ b/toucanstair/toucanmirror/mirror.go
@@ -4,6 +4,7 @@
 package toucanmirror
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -44,12 +45,21 @@
 	items       map[string]Item
 	removed     map[string]removal
 	forgottenTo uint64 // removals up to this revision may be forgotten
+	gaps        []gap
 	revision    uint64
 	confirmedAt time.Time // when the store confirmed the revision
 	announcedAt time.Time // confirmedAt when receivers were last woken
 	changed     chan struct{}
 }
 
+// gap is a range of revisions over which a list replaced the changes. A key that was
+// created and removed in it is not known here, but a receiver with a revision inside the
+// range may have it.
+type gap struct{ from, to uint64 } // both excluded
+
+// maxGaps bounds the remembered gaps.
+const maxGaps = 8
+
 type removal struct {
 	revision uint64
 	at       time.Time
@@ -91,7 +101,7 @@
 		}
 	}
 	if b.Full {
-		m.forgottenTo = max(m.forgottenTo, b.Revision)
+		m.addGap(gap{m.revision, b.Revision})
 	}
 	m.revision = max(m.revision, b.Revision)
 	if confirmed.After(m.confirmedAt) {
@@ -106,14 +116,30 @@
 	return significant, insignificant
 }
 
+// addGap remembers a gap. Beyond maxGaps, receivers below the end of the oldest one get all
+// items.
+func (m *Mirror) addGap(g gap) {
+	m.gaps = append(m.gaps, g)
+	if len(m.gaps) > maxGaps {
+		m.forgottenTo = max(m.forgottenTo, m.gaps[0].to)
+		m.gaps = m.gaps[1:]
+	}
+}
+
+// needsAll reports whether a receiver with a revision may have keys whose removal is not
+// known here any more.
+func (m *Mirror) needsAll(after uint64) bool {
+	return after == 0 || after < m.forgottenTo || slices.ContainsFunc(m.gaps, func(g gap) bool { return after > g.from && after < g.to })
+}
+
 // Since returns the significant changes after a revision, or all items if
-// removals after it may be forgotten, and a channel that is closed at the next
+// removals after it may not be known, and a channel that is closed at the next
 // significant change or confirmation.
 func (m *Mirror) Since(after uint64) (Batch, <-chan struct{}) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.init()
-	b := Batch{Revision: m.revision, Full: after < m.forgottenTo || after == 0}
+	b := Batch{Revision: m.revision, Full: m.needsAll(after)}
 	for _, it := range m.items {
 		if b.Full || it.Revision > after {
 			b.Items = append(b.Items, it)
--- a/toucanstair/toucanmirror/mirror_test.go
+++ b/toucanstair/toucanmirror/mirror_test.go
@@ -128,3 +128,19 @@
 	}
 	return b
 }
+
+// Guards against a full copy to each receiver after a list, which a large fleet makes when
+// the store has compacted its changes, and against a receiver that keeps a key which was
+// created and removed in the changes that the list replaced.
+func TestListNeedsFullCopyOnlyWhereChangesAreUnknown(t *testing.T) {
+	var m toucanmirror.Mirror
+	now := time.Now()
+	m.Apply(toucanmirror.Batch{Items: []toucanmirror.Item{{Key: "a", Revision: 5}, {Key: "b", Revision: 7}}, Full: true, Revision: 10}, now)
+	m.Apply(toucanmirror.Batch{Items: []toucanmirror.Item{{Key: "a", Revision: 5}, {Key: "c", Revision: 18}}, Full: true, Revision: 20}, now)
+	for after, full := range map[uint64]bool{0: true, 9: true, 10: false, 11: true, 19: true, 20: false, 25: false} {
+		b, _ := m.Since(after)
+		require.Equal(t, full, b.Full, "after %d", after)
+	}
+	b, _ := m.Since(10)
+	require.ElementsMatch(t, []toucanmirror.Item{{Key: "c", Revision: 18}, {Key: "b", Revision: 20, Deleted: true}}, b.Items)
+}
--- a/toucanstair/toucansource/source.go
+++ b/toucanstair/toucansource/source.go
@@ -32,6 +32,10 @@
 // be read.
 const maxFallbacks = 2
 
+// MaxReaderRank is the rank in its zone up to which a host may read the store, or follow
+// hosts of other zones, for the others of its zone.
+const MaxReaderRank = 5
+
 // maxStoreRank is the rank in the zone up to which a host reads the store as soon as the
 // reader of its zone fails. The others follow the hosts of a lower rank.
 const maxStoreRank = 2
@@ -77,12 +81,16 @@
 
 // Backups returns the hosts that the host follows beside its source while its copy is
 // old, best first: the first ones of other zones, then the next one of its own zone, the
-// next ones of other zones, and so on.
+// next ones of other zones, and so on. A host beyond MaxReaderRank follows only the next
+// ones of its own zone.
 func (p Planner) Backups(peers []Peer) []Peer {
 	zones := rankZones(p.Self, peers)
 	others := otherZones(p.Self, zones)
+	if indexOf(zones[p.Self.Zone], p.Self.ID) > MaxReaderRank {
+		others = nil
+	}
 	var out []Peer
-	for tier := range backupTiers {
+	for tier := range MaxReaderRank + 1 {
 		for _, z := range others {
 			if tier < len(zones[z]) {
 				out = append(out, zones[z][tier])
@@ -124,9 +132,6 @@
 	return toucanrules.Region(z)
 }
 
-// backupTiers is how many hosts of each zone Backups returns.
-const backupTiers = 6
-
 // rankZones returns the hosts of each zone, the one that the others follow first.
 func rankZones(self Peer, peers []Peer) map[toucanzone.Name][]Peer {
 	byID := map[string]Peer{string(self.ID): self}
