--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -12,10 +12,10 @@
 
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(b *bed, trouble bool) bool{
-	"drain":     drain,
-	"exposure":  exposure,
-	"failback":  failback,
-	"halfclose": halfClose,
+	"drain":    drain,
+	"exposure": exposure,
+	"failback": failback,
+	"lost":     lost,
 }
 
 func main() {
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -39,6 +39,8 @@
 	// is answered with failStatus after its work.
 	fails      func(path string, n int) bool
 	failStatus int
+	// mute, if set, reports whether the replica doesn't answer a request.
+	mute func(id string) bool
 
 	bed      *bed
 	address  string
@@ -196,6 +198,11 @@
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(ms)*time.Millisecond)
 		defer cancel()
 	}
+	if r.mute != nil && r.mute(id) {
+		r.count(-1, 0)
+		<-q.Context().Done() // until the host closes the connection
+		return
+	}
 	select {
 	case r.slot <- struct{}{}:
 	case <-ctx.Done():
