Review, case 2: clients send at the rate of the site's sheet

Each client waited 250 ms after its answer, so the rate fell to about 63 requests a second while replicas were silent. Clients now send every 730 ms, 90 a second in all as the sheet says, or at once after an answer that took longer.

--- a/review/standin/lost.go
+++ b/review/standin/lost.go
@@ -25,14 +25,16 @@
 		shards = 20
 		// clientCount is 25, 22 and 19 in the three zones.
 		clientCount = 66
-		pause       = 250 * time.Millisecond
-		deadline    = 800 * time.Millisecond
-		rounds      = 7
-		muteFor     = 9 * time.Second
-		calm        = 2 * time.Second
-		muteShare   = 0.6 // of the requests
-		onShare     = 0.8 // of the replicas
-		bound       = 3
+		// interval is the time between two requests of a client: 90 requests a second in all,
+		// as many over all shards as at plumas-buscador.
+		interval  = 730 * time.Millisecond
+		deadline  = 800 * time.Millisecond
+		rounds    = 7
+		muteFor   = 9 * time.Second
+		calm      = 2 * time.Second
+		muteShare = 0.6 // of the requests
+		onShare   = 0.8 // of the replicas
+		bound     = 3
 	)
 	b.share = func(h *host) float64 {
 		if strings.HasSuffix(h.name, "-1") {
@@ -71,9 +73,13 @@
 	for i := range clientCount {
 		h := b.hosts[i%len(b.hosts)]
 		wg.Go(func() {
-			time.Sleep(time.Duration(rand.Float64() * float64(pause)))
+			next := time.Now().Add(time.Duration(rand.Float64() * float64(interval)))
 			var c *keptConnection
 			for !stopped.Load() {
+				time.Sleep(time.Until(next))
+				if next = next.Add(interval); time.Now().After(next) {
+					next = time.Now() // the answer took longer
+				}
 				if c == nil {
 					conn, err := net.DialTimeout("tcp", h.front, time.Second)
 					if err != nil {
@@ -89,7 +95,6 @@
 					c.Close()
 					c = nil
 				}
-				time.Sleep(pause)
 			}
 		})
 	}
