Log which response of a target answered a request

A request line now has "answer" with the target, the connection, the number of the request on it and the signature of the response; notes on refusals and failures name connection and number too. Each skipped response has a line and a reason in the metric's label. No decision changes.

--- a/toucanstair/toucanforward/leg.go
+++ b/toucanstair/toucanforward/leg.go
@@ -77,7 +77,9 @@
 	availableAt    time.Time          // when its first target is available again; set if it was abandoned for that
 	wakeAt         time.Time          // when to hedge or retry; zero: not scheduled
 	response       *toucantransport.Response
+	respondent     toucanreplica.ID          // target of response
 	lastFailure    *toucantransport.Response // last complete response that was not a success
+	failedAt       toucanreplica.ID          // target of lastFailure
 	outcomeUnknown bool                      // it may have run, but there was no response
 }
 
@@ -264,13 +266,13 @@
 	id := result.target.ID
 	switch d.f.classify(result) {
 	case success:
-		l.done, l.response = true, result.response
+		l.done, l.response, l.respondent = true, result.response, id
 		l.wakeAt = time.Time{}
 		d.tracker.RecordArrival()
 		return
 	case notRun:
 		l.reachedTarget, l.targetBusy = true, true
-		d.log.addNote("refused by " + string(id))
+		d.log.addNote("refused by " + string(id) + describeExchange(result.response))
 		l.tried = slices.DeleteFunc(l.tried, func(t toucanreplica.ID) bool { return t == id })
 		l.refused = append(l.refused, id)
 	case unsent:
@@ -280,9 +282,9 @@
 		l.tried = slices.DeleteFunc(l.tried, func(t toucanreplica.ID) bool { return t == id })
 		l.refused = append(l.refused, id)
 	case definitive:
-		l.reachedTarget, l.lastFailure = true, result.response
-		l.done, l.response = !d.route.FansOut(), result.response
-		d.log.addNote("status " + strconv.Itoa(result.response.Status) + " of " + string(id))
+		l.reachedTarget, l.lastFailure, l.failedAt = true, result.response, id
+		l.done, l.response, l.respondent = !d.route.FansOut(), result.response, id
+		d.log.addNote("status " + strconv.Itoa(result.response.Status) + " of " + string(id) + describeExchange(result.response))
 		if l.done {
 			d.tracker.RecordArrival()
 			return
@@ -290,8 +292,8 @@
 	case failed:
 		l.reachedTarget = true
 		if result.response != nil {
-			l.lastFailure = result.response
-			d.log.addNote("status " + strconv.Itoa(result.response.Status) + " of " + string(id))
+			l.lastFailure, l.failedAt = result.response, id
+			d.log.addNote("status " + strconv.Itoa(result.response.Status) + " of " + string(id) + describeExchange(result.response))
 		} else {
 			l.outcomeUnknown = true
 			d.log.addNote("lost at " + string(id) + ": " + result.err.Error())
@@ -309,6 +311,11 @@
 	}
 }
 
+// describeExchange returns the connection of a response and its use, for the log.
+func describeExchange(res *toucantransport.Response) string {
+	return " on " + res.Exchange.Connection + " #" + strconv.Itoa(res.Exchange.Number)
+}
+
 // resultClass is the class of an attempt's result.
 type resultClass int
 
--- a/toucanstair/toucanforward/requestlog.go
+++ b/toucanstair/toucanforward/requestlog.go
@@ -6,6 +6,10 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"toucanstair.example/core/toucanreplica"
+	"toucanstair.example/toucanstair/toucantransport"
 )
 
 // requestLog collects the fields of one request's log line.
@@ -24,6 +28,26 @@
 	missing       int      // legs without a response
 	delegated     bool     // received from another host, which answers the caller
 	trail         []string // notes on failures, hedges and delegation
+	answer        *answer  // the response that was passed through, nil if there was none
+}
+
+// answer tells which response of a target the caller got. Two lines with the same
+// signature show a response that was taken for that of another request.
+type answer struct {
+	target   toucanreplica.ID
+	exchange toucantransport.Exchange
+}
+
+// MarshalLogObject adds the fields of an answer to a log line.
+func (a *answer) MarshalLogObject(e zapcore.ObjectEncoder) error {
+	if a == nil {
+		return nil
+	}
+	e.AddString("target", string(a.target))
+	e.AddString("connection", a.exchange.Connection)
+	e.AddInt("exchange", a.exchange.Number)
+	e.AddString("signature", a.exchange.Signature)
+	return nil
 }
 
 var gatheredForOthers = metrics.NewCounter("toucan_forward_gathered_for_others_total")
@@ -57,5 +81,5 @@
 		zap.Int("status", l.status), zap.String("why", l.reason), zap.Duration("took", took),
 		zap.Int("asked", l.requested), zap.Int("missing", l.missing),
 		zap.Int("sends", l.attempts), zap.Int("hedges", l.hedges), zap.Int("repeats", l.extraAttempts),
-		zap.Strings("trail", l.trail))
+		zap.Strings("trail", l.trail), zap.Object("answer", l.answer))
 }
--- a/toucanstair/toucanforward/response.go
+++ b/toucanstair/toucanforward/response.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"toucanstair.example/core/toucanreplica"
 	"toucanstair.example/toucanstair/toucangather"
 	"toucanstair.example/toucanstair/toucanrecord"
 	"toucanstair.example/toucanstair/toucantransport"
@@ -53,12 +54,12 @@
 	case d.decision == toucangather.Respond && d.route.FansOut():
 		d.mergeRecords(w)
 	case d.decision == toucangather.Respond:
-		d.passThrough(w, d.legs[0].response)
+		d.passThrough(w, d.legs[0].response, d.legs[0].respondent)
 	case !d.mayHaveRun():
 		retryAfter, reason := d.refusalReason()
 		d.f.refuse(w, log, retryAfter, reason)
 	case !d.route.FansOut() && d.legs[0].lastFailure != nil && d.legs[0].lastFailure.Header.Get(d.f.Headers.Signature) != "" && d.legs[0].lastFailure.Status >= 300:
-		d.passThrough(w, d.legs[0].lastFailure)
+		d.passThrough(w, d.legs[0].lastFailure, d.legs[0].failedAt)
 	case !time.Now().Before(d.deadline):
 		d.f.fail(w, log, http.StatusGatewayTimeout, "no complete response in time")
 	default:
@@ -119,8 +120,9 @@
 }
 
 // passThrough writes a target's response unchanged, without hop-by-hop headers.
-func (d *dispatch) passThrough(w http.ResponseWriter, res *toucantransport.Response) {
+func (d *dispatch) passThrough(w http.ResponseWriter, res *toucantransport.Response, target toucanreplica.ID) {
 	d.log.status = res.Status
+	d.log.answer = &answer{target: target, exchange: res.Exchange}
 	removeHopByHop(res.Header)
 	h := w.Header()
 	if _, ok := res.Header["Content-Type"]; !ok {
--- a/toucanstair/toucanserver/server.go
+++ b/toucanstair/toucanserver/server.go
@@ -141,7 +141,7 @@
 	targets := &toucanbalancer.TargetSet{}
 	memory := &toucanquota.Quota{Limit: settings.MemoryLimit / messageMemoryDivisor}
 	metrics.GetOrCreateGauge("toucan_message_memory_bytes", func() float64 { return float64(memory.Used()) })
-	transport := &toucantransport.Transport{Headers: s.Headers, Memory: memory}
+	transport := &toucantransport.Transport{Headers: s.Headers, Memory: memory, Log: s.Log}
 	self := toucansource.Peer{ID: settings.Name, Zone: settings.Zone, Address: settings.PeerAddress, CPUMillis: settings.CPUMillis}
 	mirror := &toucanmirror.Mirror{}
 	gatewayClient := &toucangateway.Client{}
--- a/toucanstair/toucantransport/pool.go
+++ b/toucanstair/toucantransport/pool.go
@@ -56,6 +56,7 @@
 	r           *bufio.Reader
 	limit       *limitedReader // below r
 	unused      bool           // no response was read from it yet
+	exchanges   int            // requests that it has carried
 	idleTimeout time.Duration  // after which the target closes an idle connection
 	lastUsed    time.Time
 	previous    exchanged // the last exchange
--- a/toucanstair/toucantransport/transport.go
+++ b/toucanstair/toucantransport/transport.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
 
 	"toucanstair.example/core/toucanreplica"
 	"toucanstair.example/toucanstair/toucanquota"
@@ -27,14 +28,14 @@
 	// minConcurrentBody is the size of a request body, in bytes, from which the response
 	// is read while the body is still being written.
 	minConcurrentBody = 8 << 10
+	// maxLoggedHeaderBytes bounds what a log line quotes of a header.
+	maxLoggedHeaderBytes = 128
 )
 
 var (
 	dialCount = metrics.NewCounter("toucan_send_dials_total")
 	// earlyResponses counts responses that arrived before the request body was written.
 	earlyResponses = metrics.NewCounter("toucan_send_early_responses_total")
-	// strayResponses counts responses to earlier requests.
-	strayResponses = metrics.NewCounter("toucan_send_stray_responses_total")
 	// oversizedResponses counts responses that were cut off at a limit.
 	oversizedResponses = metrics.NewCounter("toucan_send_oversized_responses_total")
 )
@@ -109,13 +110,21 @@
 
 // Response is a complete response.
 type Response struct {
-	Status int
-	Header http.Header
-	Body   []byte
+	Status   int
+	Header   http.Header
+	Body     []byte
+	Exchange Exchange
 
 	memory *reservation
 }
 
+// Exchange says on which connection a response arrived, for logs.
+type Exchange struct {
+	Connection string // local address
+	Number     int    // of the requests that the connection has carried, this one included
+	Signature  string // of the response, cut off at maxLoggedHeaderBytes
+}
+
 // Release returns the memory of the response to the transport's quota. The response
 // must not be used afterwards. It is safe to call it again, and on nil.
 func (r *Response) Release() {
@@ -160,6 +169,8 @@
 	// Memory limits the bytes of all responses that are being read or were not released
 	// yet; nil means no limit.
 	Memory *toucanquota.Quota
+	// Log gets a line for each response that is skipped; nil means none.
+	Log *zap.Logger
 
 	pools pools
 }
@@ -176,6 +187,7 @@
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	memory := &reservation{quota: t.Memory}
 	c.limit.memory = memory
+	c.exchanges++
 	res, reuse, err := t.roundTrip(c, r, timeLeft)
 	c.limit.memory = nil
 	if !stop() || err != nil || !reuse {
@@ -194,6 +206,7 @@
 		return nil, &Error{MaybeExecuted, err}
 	}
 	res.memory = memory
+	res.Exchange = Exchange{Connection: c.LocalAddr().String(), Number: c.exchanges, Signature: clip(res.Header.Get(t.Headers.Signature))}
 	return res, nil
 }
 
@@ -278,8 +291,8 @@
 			interim++
 			continue
 		}
-		if t.isStray(c, r, res) {
-			strayResponses.Inc()
+		if reason := t.strayReason(c, r, res); reason != "" {
+			t.logStray(c, r, res, reason)
 			if last {
 				return nil, false, errNoFinalResponse
 			}
@@ -295,21 +308,41 @@
 	return nil, false, errNoFinalResponse
 }
 
-// isStray reports whether a response belongs to an earlier request of the connection: it
-// has another id, or none although the target echoes ids, or it repeats the signature of
-// the response to another request.
-func (t *Transport) isStray(c *conn, r *Request, res *Response) bool {
+// strayReason returns why a response belongs to an earlier request of the connection, or
+// "" if it may be the response to r. It is stray if it has another id, or none although
+// the target echoes ids, or if it repeats the signature of the response to another
+// request.
+func (t *Transport) strayReason(c *conn, r *Request, res *Response) string {
 	id, signature := res.Header.Get(t.Headers.RequestID), res.Header.Get(t.Headers.Signature)
 	switch {
+	case id != "" && id != r.Message.ID:
+		return "other id"
 	case id != "":
-		return id != r.Message.ID
+		return ""
 	case res.Status/100 == 2 && c.echoesID:
-		return true
+		return "no id"
+	case signature != "" && signature == c.previous.signature && c.previous.id != r.Message.ID:
+		return "repeated signature"
 	}
-	return signature != "" && signature == c.previous.signature && c.previous.id != r.Message.ID
+	return ""
 }
 
-// recordExchange records what isStray and acquire need to know of a response.
+// logStray counts and logs a response that is skipped.
+func (t *Transport) logStray(c *conn, r *Request, res *Response, reason string) {
+	metrics.GetOrCreateCounter(`toucan_send_stray_responses_total{reason="` + reason + `"}`).Inc()
+	if t.Log == nil {
+		return
+	}
+	t.Log.Info("response skipped",
+		zap.String("request", r.Message.ID), zap.String("target", string(r.Target)), zap.String("reason", reason),
+		zap.String("connection", c.LocalAddr().String()), zap.Int("exchange", c.exchanges), zap.Int("status", res.Status),
+		zap.String("id", clip(res.Header.Get(t.Headers.RequestID))), zap.String("signature", clip(res.Header.Get(t.Headers.Signature))))
+}
+
+// clip bounds what a log line quotes of a target's header.
+func clip(text string) string { return text[:min(len(text), maxLoggedHeaderBytes)] }
+
+// recordExchange records what strayReason and acquire need to know of a response.
 func (t *Transport) recordExchange(c *conn, r *Request, res *Response) {
 	id := res.Header.Get(t.Headers.RequestID)
 	if id != "" && res.Status/100 == 2 {
