Tell responses from late copies by all that a connection has carried

A target may send a response again on a kept connection, any number of requests later. The transport compared the copy with the last exchange only, not at all if it had the id of the request that waits, and trusted every response without an id until the connection had seen a success with one. Once a copy was taken for the answer, the response of that request was due next.

A connection now keeps the hashes of the signatures of all responses that were read on it, stray ones too, for at most 256 requests. A known signature is stray whatever its id. After a response with neither id nor signature the connection is closed, since a copy of it would be indistinguishable, and a request that must not run twice never follows a refusal on a connection, not only the last one.

Why it works: every byte of a connection is read in order, so a response always arrives before its copies and its signature is known when they come.

--- /dev/null
+++ b/toucanstair/toucantransport/history.go
@@ -0,0 +1,71 @@
+package toucantransport
+
+import (
+	"hash/maphash"
+	"net/http"
+	"slices"
+)
+
+// maxExchanges is how many requests a connection carries. It bounds the history, which
+// keeps every exchange because a copy of a response may come at any later time.
+const maxExchanges = 256
+
+// hashSeed is the seed of the hashes in all histories.
+var hashSeed = maphash.MakeSeed()
+
+// history holds what a connection has carried, to tell the response to a request from
+// late copies of earlier ones. The zero value is that of a new connection.
+type history struct {
+	requests   []uint64 // hashes of the request ids
+	signatures []uint64 // hashes of the responses' signatures
+	echoesID   bool     // a success had the id of its request
+	refused    bool     // a response was a refusal
+}
+
+// full reports whether the connection carries no further request.
+func (h *history) full() bool { return len(h.requests) >= maxExchanges }
+
+// begin records a request that is about to be sent.
+func (h *history) begin(id string) {
+	h.requests = append(h.requests, maphash.String(hashSeed, id))
+}
+
+// Reasons for which a response is stray.
+const (
+	otherID           = "other id"
+	noID              = "no id"
+	repeatedSignature = "repeated signature"
+)
+
+// strayReason returns why a response belongs to an earlier request of the connection, or
+// "" if it may be the response to the request with this id. It is stray if it has another
+// id, or none although the target echoes ids, or the signature of an earlier response.
+func (h *history) strayReason(names Headers, id string, res *Response) string {
+	echo, signature := res.Header.Get(names.RequestID), res.Header.Get(names.Signature)
+	switch {
+	case echo != "" && echo != id:
+		return otherID
+	case signature != "" && slices.Contains(h.signatures, maphash.String(hashSeed, signature)):
+		return repeatedSignature
+	case echo == "" && res.Status/100 == 2 && h.echoesID:
+		return noID
+	}
+	return ""
+}
+
+// record records a response, also a stray one, and reports whether a copy of it could be
+// recognized. One without an id or signature looks like the response to any request.
+func (h *history) record(names Headers, res *Response) bool {
+	echo, signature := res.Header.Get(names.RequestID), res.Header.Get(names.Signature)
+	if signature != "" {
+		h.signatures = append(h.signatures, maphash.String(hashSeed, signature))
+	}
+	h.echoesID = h.echoesID || echo != "" && res.Status/100 == 2
+	h.refused = h.refused || names.isRefusal(res)
+	return echo != "" || signature != ""
+}
+
+// isRefusal reports whether a response says that the target did not run the request.
+func (names *Headers) isRefusal(res *Response) bool {
+	return res.Status == http.StatusMisdirectedRequest || res.Header.Get(names.NotExecuted) != ""
+}
--- a/toucanstair/toucantransport/pool.go
+++ b/toucanstair/toucantransport/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -56,21 +57,9 @@
 	r           *bufio.Reader
 	limit       *limitedReader // below r
 	unused      bool           // no response was read from it yet
-	exchanges   int            // requests that it has carried
 	idleTimeout time.Duration  // after which the target closes an idle connection
 	lastUsed    time.Time
-	previous    exchanged // the last exchange
-	echoesID    bool      // a success on it had the id of its request
-}
-
-// exchanged is what is known of the last exchange of a connection, to recognize a late
-// copy of its response.
-type exchanged struct {
-	id        string // of the request
-	signature string // of the response
-	// anonymousRefusal says that the response was a refusal without the id of its request.
-	// A copy of it cannot be told from the refusal of the next request.
-	anonymousRefusal bool
+	history     history
 }
 
 // setIdleTimeout sets the idle timeout from a Keep-Alive header.
@@ -87,6 +76,26 @@
 	}
 }
 
+// suits reports whether the connection may carry r. A late copy of a refusal must not
+// refuse a request that cannot be retried.
+func (c *conn) suits(r *Request) bool { return !(r.FreshConnection && c.history.refused) }
+
+// isFresh reports whether an idle connection is open, will not reach its idle timeout
+// soon, and has no unread data.
+func (c *conn) isFresh(r *Request, now time.Time) bool {
+	maxIdle := c.idleTimeout - idleMargin
+	if r.FreshConnection {
+		maxIdle = min(maxIdle, maxFreshIdle)
+	}
+	idle := now.Sub(c.lastUsed)
+	if idle >= maxIdle {
+		return false
+	}
+	// Data that arrived before the request is no response to it. Ids tell that too.
+	probe := r.FreshConnection || !c.history.echoesID || idle >= skipProbeWithin
+	return !probe || c.usable()
+}
+
 // usable reports whether an idle connection is open and has no unread data. It peeks at
 // the socket without blocking.
 func (c *conn) usable() bool {
@@ -187,15 +196,11 @@
 	for len(p.idle) > 0 {
 		c := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
-		if r.FreshConnection && c.previous.anonymousRefusal {
+		if !c.suits(r) {
 			skipped = append(skipped, c)
 			continue
 		}
-		maxIdle := c.idleTimeout - idleMargin
-		if r.FreshConnection {
-			maxIdle = min(maxIdle, maxFreshIdle)
-		}
-		if idle := now.Sub(c.lastUsed); idle < maxIdle && (idle < skipProbeWithin && !r.FreshConnection || c.usable()) {
+		if c.isFresh(r, now) {
 			p.idle = append(p.idle, skipped...)
 			p.mu.Unlock()
 			return c, 0, nil
@@ -203,6 +208,14 @@
 		p.open--
 		c.Close()
 	}
+	if maxOpen := p.limit(r.MaxConnections, now); len(skipped) > 0 && maxOpen > 0 && p.open >= maxOpen {
+		// The connection that was idle for longest makes room for one that suits.
+		oldest := len(skipped) - 1
+		p.open--
+		skipped[oldest].Close()
+		skipped = skipped[:oldest]
+	}
+	slices.Reverse(skipped)
 	p.idle = append(p.idle, skipped...)
 	if maxOpen := p.limit(r.MaxConnections, now); maxOpen > 0 && p.open >= maxOpen {
 		p.mu.Unlock()
--- a/toucanstair/toucantransport/transport.go
+++ b/toucanstair/toucantransport/transport.go
@@ -187,7 +187,7 @@
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	memory := &reservation{quota: t.Memory}
 	c.limit.memory = memory
-	c.exchanges++
+	c.history.begin(r.Message.ID)
 	res, reuse, err := t.roundTrip(c, r, timeLeft)
 	c.limit.memory = nil
 	if !stop() || err != nil || !reuse {
@@ -206,7 +206,7 @@
 		return nil, &Error{MaybeExecuted, err}
 	}
 	res.memory = memory
-	res.Exchange = Exchange{Connection: c.LocalAddr().String(), Number: c.exchanges, Signature: clip(res.Header.Get(t.Headers.Signature))}
+	res.Exchange = Exchange{Connection: c.LocalAddr().String(), Number: len(c.history.requests), Signature: clip(res.Header.Get(t.Headers.Signature))}
 	return res, nil
 }
 
@@ -291,8 +291,9 @@
 			interim++
 			continue
 		}
-		if reason := t.strayReason(c, r, res); reason != "" {
+		if reason := c.history.strayReason(t.Headers, r.Message.ID, res); reason != "" {
 			t.logStray(c, r, res, reason)
+			c.history.record(t.Headers, res)
 			if last {
 				return nil, false, errNoFinalResponse
 			}
@@ -300,33 +301,12 @@
 			continue
 		}
 		c.setIdleTimeout(res.Header.Get("Keep-Alive"))
-		t.recordExchange(c, r, res)
-		// A copy of a refusal would answer the same request if it were sent again here.
-		refused := r.FreshConnection && t.isRefusal(res)
-		return res, !last && c.r.Buffered() == 0 && !refused, nil
+		recognizable := c.history.record(t.Headers, res)
+		return res, !last && recognizable && !c.history.full() && c.r.Buffered() == 0, nil
 	}
 	return nil, false, errNoFinalResponse
 }
 
-// strayReason returns why a response belongs to an earlier request of the connection, or
-// "" if it may be the response to r. It is stray if it has another id, or none although
-// the target echoes ids, or if it repeats the signature of the response to another
-// request.
-func (t *Transport) strayReason(c *conn, r *Request, res *Response) string {
-	id, signature := res.Header.Get(t.Headers.RequestID), res.Header.Get(t.Headers.Signature)
-	switch {
-	case id != "" && id != r.Message.ID:
-		return "other id"
-	case id != "":
-		return ""
-	case res.Status/100 == 2 && c.echoesID:
-		return "no id"
-	case signature != "" && signature == c.previous.signature && c.previous.id != r.Message.ID:
-		return "repeated signature"
-	}
-	return ""
-}
-
 // logStray counts and logs a response that is skipped.
 func (t *Transport) logStray(c *conn, r *Request, res *Response, reason string) {
 	metrics.GetOrCreateCounter(`toucan_send_stray_responses_total{reason="` + reason + `"}`).Inc()
@@ -335,27 +315,13 @@
 	}
 	t.Log.Info("response skipped",
 		zap.String("request", r.Message.ID), zap.String("target", string(r.Target)), zap.String("reason", reason),
-		zap.String("connection", c.LocalAddr().String()), zap.Int("exchange", c.exchanges), zap.Int("status", res.Status),
+		zap.String("connection", c.LocalAddr().String()), zap.Int("exchange", len(c.history.requests)), zap.Int("status", res.Status),
 		zap.String("id", clip(res.Header.Get(t.Headers.RequestID))), zap.String("signature", clip(res.Header.Get(t.Headers.Signature))))
 }
 
 // clip bounds what a log line quotes of a target's header.
 func clip(text string) string { return text[:min(len(text), maxLoggedHeaderBytes)] }
 
-// recordExchange records what strayReason and acquire need to know of a response.
-func (t *Transport) recordExchange(c *conn, r *Request, res *Response) {
-	id := res.Header.Get(t.Headers.RequestID)
-	if id != "" && res.Status/100 == 2 {
-		c.echoesID = true
-	}
-	c.previous = exchanged{id: r.Message.ID, signature: res.Header.Get(t.Headers.Signature), anonymousRefusal: id == "" && t.isRefusal(res)}
-}
-
-// isRefusal reports whether a response says that the target did not run the request.
-func (t *Transport) isRefusal(res *Response) bool {
-	return res.Status == http.StatusMisdirectedRequest || res.Header.Get(t.Headers.NotExecuted) != ""
-}
-
 // readNext returns the next response, and whether it is the last one of its
 // connection.
 func readNext(c *conn, request *http.Request, maxBytes int64) (*Response, bool, error) {
