Close the connection of a caller that has left instead of sending an empty success

A caller that closed its sending side and still read got 200 without a body and without a signature (MIXED: a success without the target's signature). Cause: net/http ends the context of a request when the caller's side is closed; the handler then returned without writing, and net/http completes such a handler with 200.

The handler now ends with http.ErrAbortHandler, which closes the connection. The test hosts' get treats that panic as net/http does.

--- a/toucanstair/toucanforward/fake_test.go
+++ b/toucanstair/toucanforward/fake_test.go
@@ -184,6 +184,17 @@
 	}
 	w := httptest.NewRecorder()
 	start := time.Now()
-	h.ServeHTTP(w, r)
+	h.serve(w, r)
 	return w, time.Since(start)
 }
+
+// serve calls the handler as net/http does, which closes the connection after
+// http.ErrAbortHandler.
+func (h *testHost) serve(w http.ResponseWriter, r *http.Request) {
+	defer func() {
+		if p := recover(); p != nil && p != http.ErrAbortHandler {
+			panic(p)
+		}
+	}()
+	h.ServeHTTP(w, r)
+}
--- a/toucanstair/toucanforward/forwarder.go
+++ b/toucanstair/toucanforward/forwarder.go
@@ -98,6 +98,9 @@
 	invalidPause sync.Once // logs an invalid Retry-After of a target
 }
 
+// statusCallerGone is the logged status of a request whose caller has left. It is not sent.
+const statusCallerGone = 499
+
 var refusedFull = metrics.NewCounter(`toucan_forward_refused_total{reason="host is full"}`)
 
 // ServeHTTP serves one request of a caller. When the host itself responds with
@@ -156,11 +159,15 @@
 	message := toucantransport.NewMessage(log.id, r.Method, r.RequestURI, r.Host, f.forwardableHeader(r.Header), body)
 	d := f.newDispatch(message, route, log, deadline)
 	defer d.release()
-	if f.delegate(r.Context(), w, d, body, r) {
-		return
+	if !f.delegate(r.Context(), w, d, body, r) {
+		d.run(r.Context())
+		d.respond(w)
+	}
+	if log.status == statusCallerGone {
+		// Without a panic net/http would send a success, which a caller that has closed only
+		// its sending side reads.
+		panic(http.ErrAbortHandler)
 	}
-	d.run(r.Context())
-	d.respond(w)
 }
 
 // requestDeadline returns when a request ends: at the route's timeout or at the
--- a/toucanstair/toucanforward/gateway.go
+++ b/toucanstair/toucanforward/gateway.go
@@ -61,7 +61,7 @@
 	log := d.log
 	switch {
 	case callerGone:
-		log.status, log.reason = 499, "the caller has left"
+		log.status, log.reason = statusCallerGone, "the caller has left"
 		return true
 	case connecting || errors.Is(err, toucangateway.ErrNotAccepted):
 		log.addNote("not gathered by " + string(peer.ID) + ": " + err.Error())
--- a/toucanstair/toucanforward/response.go
+++ b/toucanstair/toucanforward/response.go
@@ -50,7 +50,7 @@
 	log.missing = d.tracker.Shards - d.tracker.Received()
 	switch {
 	case d.callerGone:
-		log.status, log.reason = 499, "the caller has left"
+		log.status, log.reason = statusCallerGone, "the caller has left"
 	case d.decision == toucangather.Respond && d.route.FansOut():
 		d.mergeRecords(w)
 	case d.decision == toucangather.Respond:
