Match refusals and failures of targets with their leg

A caller of the product's own path could get "not run" for a non-idempotent request that ran, and repeat it. Two attempts of a query at one replica could also have the same id.

Targets now repeat the id of the leg in Toucan-Leg, also in refusals and failures, and each attempt has an id of its own. A response with another id ends the leg as unknown and closes the connection. TestLateCopyOfRefusalDoesNotRefuseLaterLeg failed before in both cases (refused, notrun for a leg that the target ran). Targets without the header are served as before; the gap remains for them and is listed.

--- a/toucanstair/toucanexchange/client.go
+++ b/toucanstair/toucanexchange/client.go
@@ -11,6 +11,7 @@
 	"net/http/httptrace"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -40,6 +41,7 @@
 // Client sends legs to targets over pooled connections. The zero value is ready to
 // use. It is safe for concurrent use.
 type Client struct {
+	legs  atomic.Uint64 // legs sent, for their ids
 	mu    sync.RWMutex
 	pools map[string]*targetPool
 }
@@ -101,7 +103,8 @@
 
 func (c *Client) send(ctx context.Context, r Request) (Response, error) {
 	leg := r.Leg
-	body, err := encodeQuery(leg)
+	id := legID(leg, c.legs.Add(1))
+	body, err := encodeQuery(leg, id)
 	if err != nil {
 		return Response{}, toucanfault.NotRun(toucanpb.Code_CODE_INVALID, "query cannot be encoded as JSON").Because(err)
 	}
@@ -159,10 +162,14 @@
 	}
 	httpResponse.Body.Close()
 	usedConn.endRequest()
+	if err := headerError(httpResponse.Header, id); err != nil {
+		closeAndWait(usedConn)
+		return response, err
+	}
 	if err := statusError(httpResponse, responseBody); err != nil {
 		return response, err
 	}
-	items, decodeErr := decodeResponse(responseBody, leg)
+	items, decodeErr := decodeResponse(responseBody, leg, id)
 	if decodeErr != nil {
 		// The response may belong to another request, so the connection cannot be reused.
 		closeAndWait(usedConn)
--- a/toucanstair/toucanexchange/client_test.go
+++ b/toucanstair/toucanexchange/client_test.go
@@ -246,6 +246,36 @@
 	received.requireNone(t, notRunQueries)
 }
 
+// Guards against a non-idempotent request that is reported as not run because of a late
+// copy of a refusal, although the target runs it, and against one that answers a later
+// attempt of the same leg.
+func TestLateCopyOfRefusalDoesNotRefuseLaterLeg(t *testing.T) {
+	refuse := func(c net.Conn, id string) {
+		fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nToucan-Refused: 1\r\nToucan-Leg: %s\r\nContent-Length: 0\r\n\r\n", id)
+	}
+	for name, query := range map[string]string{"of another query": "q2", "of the same query": "q1"} {
+		t.Run(name, func(t *testing.T) {
+			var refused atomic.Pointer[string]
+			address, _ := rawTarget(t, func(c net.Conn, _ int64, id string) {
+				if earlier := refused.Swap(&id); earlier != nil {
+					refuse(c, *earlier) // the copy
+					write(c, respond(id, 3, 7))
+					return
+				}
+				refuse(c, id)
+			})
+			var client toucanexchange.Client
+			defer client.Close()
+			_, err := client.Do(t.Context(), request(address, leg("q1")))
+			requireFault(t, err, toucanpb.Code_CODE_REFUSED, notRun)
+			l := leg(query)
+			l.Once, l.Key = true, "k"
+			_, err = client.Do(t.Context(), request(address, l))
+			requireFault(t, err, toucanpb.Code_CODE_INVALID, unknown)
+		})
+	}
+}
+
 // Guards against net/http retrying a request when a kept-alive connection breaks
 // after the request was written.
 func TestBrokenConnectionDoesNotRetry(t *testing.T) {
--- a/toucanstair/toucanexchange/codec.go
+++ b/toucanstair/toucanexchange/codec.go
@@ -31,38 +31,52 @@
 	Items []toucanpb.Item `json:"items"`
 }
 
-// legID returns the id of one attempt at a shard. The target returns it, so that a
-// response to another attempt or another shard of the same query is detected. Hedged
-// requests and retries have the suffix /extra.
-func legID(l *toucanpb.Leg) string {
-	b := make([]byte, 0, len(l.GetQueryId())+len(l.GetReplica())+24)
+// legHeader is the response header with which a target returns the id of a leg, also in
+// refusals and failures. Targets may leave it out.
+const legHeader = "Toucan-Leg"
+
+// legID returns the id of the nth leg that a client sends. The target returns it, so that
+// a response to another leg is detected, also to an earlier attempt at the same replica.
+// Hedged requests and retries have the suffix /extra.
+func legID(l *toucanpb.Leg, n uint64) string {
+	b := make([]byte, 0, len(l.GetQueryId())+len(l.GetReplica())+32)
 	b = append(b, l.GetQueryId()...)
 	b = append(b, '/')
 	b = strconv.AppendUint(b, uint64(l.GetShard()), 10)
 	b = append(b, '/')
 	b = append(b, l.GetReplica()...)
+	b = append(b, '/')
+	b = strconv.AppendUint(b, n, 10)
 	if l.GetExtra() {
 		b = append(b, "/extra"...)
 	}
 	return string(b)
 }
 
-// encodeQuery returns the request body of a leg.
-func encodeQuery(l *toucanpb.Leg) ([]byte, error) {
+// encodeQuery returns the request body of a leg with the given id.
+func encodeQuery(l *toucanpb.Leg, id string) ([]byte, error) {
 	return json.Marshal(targetQuery{
-		Leg: legID(l), Service: l.GetService(), Shard: l.GetShard(), Route: l.GetRoute(),
+		Leg: id, Service: l.GetService(), Shard: l.GetShard(), Route: l.GetRoute(),
 		Query: string(l.GetQuery()), Limit: l.GetLimit(), Index: l.GetIndex(),
 	})
 }
 
-// decodeResponse parses a response body and checks that it belongs to the leg. A leg
-// with index version 0 accepts any version.
-func decodeResponse(body []byte, l *toucanpb.Leg) ([]*toucanpb.Item, error) {
+// headerError returns an error if the header of a response has the id of another leg.
+func headerError(h http.Header, id string) error {
+	if got := h.Get(legHeader); got != "" && got != id {
+		return toucanfault.Unknown(toucanpb.Code_CODE_INVALID, "response has the id of another leg")
+	}
+	return nil
+}
+
+// decodeResponse parses a response body and checks that it belongs to the leg with the
+// given id. A leg with index version 0 accepts any version.
+func decodeResponse(body []byte, l *toucanpb.Leg, id string) ([]*toucanpb.Item, error) {
 	var response targetResponse
 	if err := json.Unmarshal(body, &response); err != nil {
 		return nil, toucanfault.Unknown(toucanpb.Code_CODE_INVALID, "response body is not the expected JSON").Because(err)
 	}
-	if response.Leg == nil || *response.Leg != legID(l) {
+	if response.Leg == nil || *response.Leg != id {
 		return nil, toucanfault.Unknown(toucanpb.Code_CODE_INVALID, "response has the id of another leg")
 	}
 	if !equalNumber(response.Shard, uint64(l.GetShard())) {
--- a/toucantarget/toucansimulator/handler.go
+++ b/toucantarget/toucansimulator/handler.go
@@ -87,6 +87,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	w.Header().Set("Toucan-Leg", q.GetLeg())
 	l := t.admit(q, r.Header.Get("Toucan-Key"), once)
 	switch l.status {
 	case http.StatusOK:
