Notice each cold time of a target

Cause: a heartbeat counted as cold again only if the remaining time was 0.5 s above that of the last significant change, which was the start of the first cold time, so the mirror dropped it and followers never learned of it; the target set ignored an entry that equalled the first one.

A heartbeat now counts if it moves the end of the cold time by more than 0.5 s, and an entry with a remaining cold time always sets that end.

--- a/toucanstair/toucanbalancer/targetset.go
+++ b/toucanstair/toucanbalancer/targetset.go
@@ -69,7 +69,7 @@
 	set.mu.Lock()
 	defer set.mu.Unlock()
 	old := set.targets[e.ID]
-	if old != nil && old.TargetInfo == e && old.unlistedAt.IsZero() {
+	if old != nil && old.TargetInfo == e && old.unlistedAt.IsZero() && e.ColdRemaining <= 0 {
 		return false
 	}
 	t := &Target{TargetInfo: e, coldLimit: &coldLimiter{}}
--- a/toucanstair/toucanbalancer/targetset_test.go
+++ b/toucanstair/toucanbalancer/targetset_test.go
@@ -204,6 +204,20 @@
 	require.True(t, set.Candidates("s")[0].IsCold(now.Add(time.Second)))
 }
 
+// Guards against a target that turns cold a second time for as long as the first: its
+// entry is the same, and it would get requests at the full rate.
+func TestTargetTurnsColdAgainWithSameEntry(t *testing.T) {
+	var set toucanbalancer.TargetSet
+	now := time.Now()
+	cold := entry("t1", "a")
+	cold.ColdRemaining = 3 * time.Second
+	set.Upsert(cold, now)
+	now = now.Add(12 * time.Second)
+	require.False(t, set.Candidates("s")[0].IsCold(now))
+	set.Upsert(cold, now)
+	require.True(t, set.Candidates("s")[0].IsCold(now))
+}
+
 // Guards against an estimate that uses up the rate of a cold target, and against a cold
 // target that gets its full rate again each time its entry changes.
 func TestColdTokensAreTakenByRequestsOnly(t *testing.T) {
--- a/toucanstair/toucanfollower/apply.go
+++ b/toucanstair/toucanfollower/apply.go
@@ -14,16 +14,22 @@
 	"toucanstair.example/toucanstair/toucansource"
 )
 
-// minColdTimeIncrease is the increase of a target's remaining cold time above
-// which the target counts as cold again. Other heartbeats only lower that time.
+// minColdTimeIncrease is by how much the end of a target's cold time has to move for the
+// target to count as cold again. Other heartbeats only confirm that end.
 const minColdTimeIncrease = 500 * time.Millisecond
 
+// appliedChange is a change and when it was applied.
+type appliedChange struct {
+	Change
+	at time.Time
+}
+
 // apply stores a batch in the mirror and applies the changes.
 func (f *Follower) apply(b toucanmirror.Batch, confirmed time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.lastSignificant == nil {
-		f.lastSignificant = make(map[string]Change)
+		f.lastSignificant = make(map[string]appliedChange)
 		f.Mirror.IsSignificant = f.isSignificant
 	}
 	significant, insignificant := f.Mirror.Apply(b, confirmed)
@@ -55,7 +61,7 @@
 		if it.Deleted {
 			delete(f.lastSignificant, it.Key)
 		} else {
-			f.lastSignificant[it.Key] = c
+			f.lastSignificant[it.Key] = appliedChange{c, now}
 		}
 		f.applyChange(c, it, outOfService, peers, now)
 	}
@@ -93,8 +99,13 @@
 // Heartbeats of targets that change only the cold time do not, unless the
 // target became cold again.
 func (f *Follower) isSignificant(_, item toucanmirror.Item) bool {
-	previous, current := f.lastSignificant[item.Key].Target, f.decode(item).Target
-	if previous == nil || current == nil || current.ColdRemaining > previous.ColdRemaining+minColdTimeIncrease {
+	last := f.lastSignificant[item.Key]
+	previous, current := last.Target, f.decode(item).Target
+	if previous == nil || current == nil {
+		return true
+	}
+	coldUntil := last.at.Add(previous.ColdRemaining)
+	if current.ColdRemaining > 0 && time.Now().Add(current.ColdRemaining).After(coldUntil.Add(minColdTimeIncrease)) {
 		return true
 	}
 	same := *previous
--- a/toucanstair/toucanfollower/follower.go
+++ b/toucanstair/toucanfollower/follower.go
@@ -150,13 +150,13 @@
 	outOfService        atomic.Pointer[map[toucanzone.Name]bool]
 	peers               atomic.Pointer[map[toucanhost.ID]toucansource.Peer]
 	listed              atomic.Bool
-	storeUncertainSince atomic.Int64           // when a call to the store last failed or recovered, Unix nanoseconds
-	disconnected        bool                   // no source has worked since the last failure
-	primaryConfirmed    atomic.Int64           // when the store confirmed what the primary source last sent, Unix nanoseconds
-	readsStore          atomic.Bool            // the primary source is the store
-	primary             storeReader            // of the primary source
-	lastSignificant     map[string]Change      // by key
-	decoded             map[itemVersion]Change // items of the current batch
+	storeUncertainSince atomic.Int64             // when a call to the store last failed or recovered, Unix nanoseconds
+	disconnected        bool                     // no source has worked since the last failure
+	primaryConfirmed    atomic.Int64             // when the store confirmed what the primary source last sent, Unix nanoseconds
+	readsStore          atomic.Bool              // the primary source is the store
+	primary             storeReader              // of the primary source
+	lastSignificant     map[string]appliedChange // by key
+	decoded             map[itemVersion]Change   // items of the current batch
 }
 
 // Rules returns the newest rules, or nil if there are none yet.
--- a/toucanstair/toucanfollower/follower_test.go
+++ b/toucanstair/toucanfollower/follower_test.go
@@ -146,8 +146,14 @@
 	case it.Deleted:
 		return toucanfollower.Change{RemovedTarget: toucanreplica.ID(name)}, nil
 	}
-	state, _, _ := strings.Cut(string(it.Value), " ")
-	return toucanfollower.Change{Target: &toucanbalancer.TargetInfo{ID: toucanreplica.ID(name), Service: "s", Draining: state == "draining"}}, nil
+	state, rest, _ := strings.Cut(string(it.Value), " ")
+	target := &toucanbalancer.TargetInfo{ID: toucanreplica.ID(name), Service: "s", Draining: state == "draining"}
+	if state == "cold" {
+		cold, err := time.ParseDuration(rest)
+		target.ColdRemaining = cold
+		return toucanfollower.Change{Target: target}, err
+	}
+	return toucanfollower.Change{Target: target}, nil
 }
 
 const maxPropagation = 3 * time.Second
@@ -201,6 +207,28 @@
 	})
 }
 
+// Guards against a mirror that drops a target's second cold time, so that the hosts that
+// follow this one never learn of it, and against a change for each heartbeat.
+func TestEachColdTimeIsSignificant(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		s.put("rules", "1")
+		f := startFollower(t, s)
+		<-time.After(time.Second)
+		for range 3 {
+			before := f.Mirror.Revision()
+			for left := 3 * time.Second; left >= 0; left -= time.Second {
+				s.put("t/1", "cold "+left.String())
+				<-time.After(time.Second)
+			}
+			<-time.After(10 * time.Second)
+			changes, _ := f.Mirror.Since(before)
+			require.Len(t, changes.Items, 1)
+			require.Equal(t, "cold 3s", string(changes.Items[0].Value))
+		}
+	})
+}
+
 // Guards against a host that waits indefinitely on a hung connection.
 func TestHungWatchTimesOut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
