--- a/toucanstair/toucanpeerlink/client_test.go
+++ b/toucanstair/toucanpeerlink/client_test.go
@@ -108,9 +108,14 @@
 	var client toucanpeerlink.Client
 	defer client.Close()
 	ctx, cancel := context.WithCancel(t.Context())
-	time.AfterFunc(50*time.Millisecond, cancel)
-	_, err := client.Do(ctx, address, &toucanpb.Leg{Query: []byte("hang")})
-	c, o := codeAndOutcome(err)
+	end := make(chan error, 1)
+	go func() {
+		_, err := client.Do(ctx, address, &toucanpb.Leg{Query: []byte("hang")})
+		end <- err
+	}()
+	require.Eventually(t, func() bool { return r.started.Load() == 1 }, 5*time.Second, time.Millisecond)
+	cancel()
+	c, o := codeAndOutcome(<-end)
 	require.Equal(t, toucanpb.Code_CODE_CANCELLED, c)
 	require.Equal(t, toucanpb.Outcome_OUTCOME_UNKNOWN, o)
 	require.Eventually(t, func() bool { return r.cancelled.Load() == 1 }, time.Second, time.Millisecond)
