--- a/toucanstair/toucanforward/fake_test.go
+++ b/toucanstair/toucanforward/fake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -192,9 +193,11 @@
 // http.ErrAbortHandler.
 func (h *testHost) serve(w http.ResponseWriter, r *http.Request) {
 	defer func() {
-		if p := recover(); p != nil && p != http.ErrAbortHandler {
-			panic(p)
+		p := recover()
+		if err, ok := p.(error); p == nil || ok && errors.Is(err, http.ErrAbortHandler) {
+			return
 		}
+		panic(p)
 	}()
 	h.ServeHTTP(w, r)
 }
--- a/toucanstair/toucantransport/pool.go
+++ b/toucanstair/toucantransport/pool.go
@@ -77,10 +77,13 @@
 }
 
 // suits reports whether no late copy of an earlier response could be taken for the
-// response to r: the connection has not carried a request with its id and, if r must not
-// run twice, no refusal.
+// response to r. A copy for the same id would be, and a copy of a refusal must not refuse
+// a request that cannot be retried.
 func (c *conn) suits(r *Request) bool {
-	return !c.history.carried(r.Message.ID) && !(r.FreshConnection && c.history.refused)
+	if r.FreshConnection && c.history.refused {
+		return false
+	}
+	return !c.history.carried(r.Message.ID)
 }
 
 // isFresh reports whether an idle connection is open, will not reach its idle timeout
