Reply with a status at the deadline of a delegated request

Cause: the gathering host took the end of its call's deadline for a caller that has left and replied without a status; where that reply beat the weak host's own timer, WriteHeader panicked and net/http closed the caller's connection.

At the end of the call's deadline the gathering host now decides as at the request's deadline: a response with what has arrived if that is enough, else 504. A reply without a status, as hosts of earlier versions send, becomes 504.

--- a/toucanstair/toucanforward/dispatch.go
+++ b/toucanstair/toucanforward/dispatch.go
@@ -55,6 +55,7 @@
 	decision   toucangather.Decision
 	hedgeHolds int // times that hedging was postponed
 	callerGone bool
+	expired    bool                        // the delegating host's deadline has passed
 	responses  []*toucantransport.Response // of all results that were handled, for release
 	released   atomic.Bool                 // release was called
 }
@@ -122,7 +123,12 @@
 			d.collectReady()
 			d.handleTimer(time.Now())
 		case <-caller.Done():
-			d.callerGone = true
+			if errors.Is(caller.Err(), context.DeadlineExceeded) {
+				// The deadline of the delegating host may come a moment before that of the request.
+				d.expired, d.decision = true, d.tracker.Decide(d.tracker.Deadline)
+			} else {
+				d.callerGone = true
+			}
 			return
 		}
 	}
--- a/toucanstair/toucanforward/gateway.go
+++ b/toucanstair/toucanforward/gateway.go
@@ -66,6 +66,10 @@
 	case connecting || errors.Is(err, toucangateway.ErrNotAccepted):
 		log.addNote("not gathered by " + string(peer.ID) + ": " + err.Error())
 		return false
+	case err == nil && reply.GetStatus() == 0:
+		// A host of an earlier version replies so when its call has reached the deadline.
+		f.fail(w, log, http.StatusGatewayTimeout, "no complete response in time from "+string(peer.ID))
+		return true
 	case err != nil && ctx.Err() != nil:
 		f.fail(w, log, http.StatusGatewayTimeout, "no complete response in time from "+string(peer.ID))
 		return true
--- a/toucanstair/toucanforward/gateway_test.go
+++ b/toucanstair/toucanforward/gateway_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -157,6 +158,73 @@
 	require.Zero(t, weak.targets.total(weak.targets.received))
 }
 
+// gatherStream is the server's side of a call that delegates one request.
+type gatherStream struct {
+	grpc.ServerStream
+	ctx      context.Context
+	requests []*toucanpb.GatherRequest
+	replies  []*toucanpb.GatherReply
+}
+
+func (s *gatherStream) Context() context.Context { return s.ctx }
+
+func (s *gatherStream) Recv() (*toucanpb.GatherRequest, error) {
+	r := s.requests[0]
+	s.requests = s.requests[1:]
+	return r, nil
+}
+
+func (s *gatherStream) Send(r *toucanpb.GatherReply) error {
+	s.replies = append(s.replies, r)
+	return nil
+}
+
+// Guards against a gathering host that takes the end of its call's deadline for a caller
+// that has left and replies without a status.
+func TestGatherRepliesWithStatusAtDeadlineOfCall(t *testing.T) {
+	for name, c := range map[string]struct {
+		responding, status int
+	}{"no shard": {0, http.StatusGatewayTimeout}, "enough shards": {3, http.StatusOK}} {
+		t.Run(name, func(t *testing.T) {
+			withFakeClock(t, func(t *testing.T) {
+				host := newTestHost(4, func(id toucanreplica.ID, _ int) behavior {
+					if id < toucanreplica.ID(fmt.Sprint("s", c.responding)) {
+						return behavior{}
+					}
+					return neverResponds()
+				})
+				ctx, cancel := context.WithTimeout(t.Context(), 790*time.Millisecond)
+				defer cancel()
+				const limit = 800 * time.Millisecond
+				stream := &gatherStream{ctx: ctx, requests: []*toucanpb.GatherRequest{
+					{Id: "id-1", Method: http.MethodGet, Uri: "/p/x", Rules: 1, Route: "r", Due: int64(limit), Limit: int64(limit)}, {Go: true},
+				}}
+				gateway := Gateway{Forwarder: host.Forwarder, RulesAt: func(uint64) *toucanrules.Rules { return host.config.rules }}
+				require.NoError(t, gateway.Gather(stream))
+				require.Equal(t, int32(c.status), stream.replies[len(stream.replies)-1].GetStatus())
+			})
+		})
+	}
+}
+
+// fixedReply is a gateway client that returns the same reply to each request.
+type fixedReply struct{ reply *toucanpb.GatherReply }
+
+func (c fixedReply) Gather(context.Context, string, *toucanpb.GatherRequest) (*toucanpb.GatherReply, error) {
+	return c.reply, nil
+}
+
+// Guards against a panic on a reply without a status, which closed the caller's
+// connection without a response.
+func TestReplyWithoutStatusEndsRequestWithTimeout(t *testing.T) {
+	weak := newTestHost(8, fastTarget)
+	placer := &toucanplacement.Placer{Self: toucansource.Peer{ID: "weak", Zone: "a", CPUMillis: 100}}
+	placer.Update([]toucansource.Peer{{ID: "strong", Zone: "a", CPUMillis: 800, Address: "10.0.0.1:1"}})
+	weak.Delegation = &Delegation{Placer: placer, Client: fixedReply{&toucanpb.GatherReply{}}}
+	w, _ := weak.get(t.Context())
+	require.Equal(t, http.StatusGatewayTimeout, w.Code)
+}
+
 // Guards against a hop that is missing in a trace or has the wrong parent.
 func TestEachHopIsTraced(t *testing.T) {
 	recorder := tracetest.NewSpanRecorder()
--- a/toucanstair/toucanforward/response.go
+++ b/toucanstair/toucanforward/response.go
@@ -60,7 +60,7 @@
 		d.f.refuse(w, log, retryAfter, reason)
 	case !d.route.FansOut() && d.legs[0].lastFailure != nil && d.legs[0].lastFailure.Header.Get(d.f.Headers.Signature) != "" && d.legs[0].lastFailure.Status >= 300:
 		d.passThrough(w, d.legs[0].lastFailure, d.legs[0].failedAt)
-	case !time.Now().Before(d.deadline):
+	case d.expired || !time.Now().Before(d.deadline):
 		d.f.fail(w, log, http.StatusGatewayTimeout, "no complete response in time")
 	default:
 		d.f.fail(w, log, http.StatusBadGateway, "too few targets answered")
