Read the number of an exchange before its connection is released

TestExchangeNumberIsReadBeforeConnectionIsReused failed before with the race detector's report; the number is now read while the connection still belongs to the request.

--- a/toucanstair/toucantransport/transport.go
+++ b/toucanstair/toucantransport/transport.go
@@ -190,6 +190,10 @@
 	c.history.begin(r.Message.ID)
 	res, reuse, err := t.roundTrip(c, r, timeLeft)
 	c.limit.memory = nil
+	if err == nil {
+		res.memory = memory
+		res.Exchange = Exchange{Connection: c.LocalAddr().String(), Number: len(c.history.requests), Signature: clip(res.Header.Get(t.Headers.Signature))}
+	}
 	if !stop() || err != nil || !reuse {
 		p.discard(c)
 	} else {
@@ -205,8 +209,6 @@
 		}
 		return nil, &Error{MaybeExecuted, err}
 	}
-	res.memory = memory
-	res.Exchange = Exchange{Connection: c.LocalAddr().String(), Number: len(c.history.requests), Signature: clip(res.Header.Get(t.Headers.Signature))}
 	return res, nil
 }
 
