Send requests that must not run twice only after signed responses

A non-idempotent request could be reported as not run although its target ran it (REFUSED, and TWICE once the caller repeats it): if a copy of an unsigned failure with the id of the waiting request had answered a safe request, that request's own refusal was still due on the connection, and its copy refused the next request. A response without a signature now counts like a refusal: no request that must not run twice follows it. TestCopyOfOverdueRefusalDoesNotRefuseNonIdempotentRequest failed before ("counts as refused, but it ran 1 times").

--- a/toucanstair/toucantransport/history.go
+++ b/toucanstair/toucantransport/history.go
@@ -19,7 +19,7 @@
 	requests   []uint64 // hashes of the request ids
 	signatures []uint64 // hashes of the responses' signatures
 	echoesID   bool     // a success had the id of its request
-	refused    bool     // a response was a refusal
+	mayRefuse  bool     // a response was unsigned or a refusal; a copy may refuse a later request
 }
 
 // carried reports whether the connection has carried a request with this id. A copy of
@@ -67,7 +67,7 @@
 		h.signatures = append(h.signatures, maphash.String(hashSeed, signature))
 	}
 	h.echoesID = h.echoesID || echo != "" && res.Status/100 == 2
-	h.refused = h.refused || names.isRefusal(res)
+	h.mayRefuse = h.mayRefuse || signature == "" || names.isRefusal(res)
 	return echo != "" || signature != ""
 }
 
--- a/toucanstair/toucantransport/pool.go
+++ b/toucanstair/toucantransport/pool.go
@@ -80,7 +80,7 @@
 // response to r. A copy for the same id would be, and a copy of a refusal must not refuse
 // a request that cannot be retried.
 func (c *conn) suits(r *Request) bool {
-	if r.FreshConnection && c.history.refused {
+	if r.FreshConnection && c.history.mayRefuse {
 		return false
 	}
 	return !c.history.carried(r.Message.ID)
