Keep HEAD and other methods on separate connections

A request failed or waited until its deadline when a late copy of a response to the other method came first: the response to HEAD has a length but no body, so the copy's end was misjudged in both directions. A connection now carries HEAD only or no HEAD, so a copy is always framed as its own response was.

--- a/toucanstair/toucantransport/history.go
+++ b/toucanstair/toucantransport/history.go
@@ -18,6 +18,7 @@
 type history struct {
 	requests   []uint64 // hashes of the request ids
 	signatures []uint64 // hashes of the responses' signatures
+	head       bool     // the requests are HEAD; a copy of their responses has no body
 	echoesID   bool     // a success had the id of its request
 	mayRefuse  bool     // a response was unsigned or a refusal; a copy may refuse a later request
 }
@@ -32,8 +33,9 @@
 func (h *history) full() bool { return len(h.requests) >= maxExchanges }
 
 // begin records a request that is about to be sent.
-func (h *history) begin(id string) {
-	h.requests = append(h.requests, maphash.String(hashSeed, id))
+func (h *history) begin(m *Message) {
+	h.requests = append(h.requests, maphash.String(hashSeed, m.ID))
+	h.head = m.Method == http.MethodHead
 }
 
 // Reasons for which a response is stray.
--- a/toucanstair/toucantransport/pool.go
+++ b/toucanstair/toucantransport/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"slices"
 	"strconv"
 	"strings"
@@ -77,10 +78,10 @@
 }
 
 // suits reports whether no late copy of an earlier response could be taken for the
-// response to r. A copy for the same id would be, and a copy of a refusal must not refuse
-// a request that cannot be retried.
+// response to r. A copy for the same id would be, one for another method ends elsewhere,
+// and a copy of a refusal must not refuse a request that cannot be retried.
 func (c *conn) suits(r *Request) bool {
-	if r.FreshConnection && c.history.mayRefuse {
+	if r.FreshConnection && c.history.mayRefuse || c.history.head != (r.Message.Method == http.MethodHead) {
 		return false
 	}
 	return !c.history.carried(r.Message.ID)
--- a/toucanstair/toucantransport/transport.go
+++ b/toucanstair/toucantransport/transport.go
@@ -187,7 +187,7 @@
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	memory := &reservation{quota: t.Memory}
 	c.limit.memory = memory
-	c.history.begin(r.Message.ID)
+	c.history.begin(r.Message)
 	res, reuse, err := t.roundTrip(c, r, timeLeft)
 	c.limit.memory = nil
 	if err == nil {
