--- a/toucanstair/toucantransport/pool.go
+++ b/toucanstair/toucantransport/pool.go
@@ -208,6 +208,7 @@
 			continue
 		}
 		if c.isFresh(r, now) {
+			slices.Reverse(skipped)
 			p.idle = append(p.idle, skipped...)
 			p.mu.Unlock()
 			return c, 0, nil
@@ -215,7 +216,7 @@
 		p.open--
 		c.Close()
 	}
-	if maxOpen := p.limit(r.MaxConnections, now); len(skipped) > 0 && maxOpen > 0 && p.open >= maxOpen {
+	if maxOpen := p.limit(r.MaxConnections, now); len(skipped) > 0 && p.open == maxOpen {
 		// The connection that was idle for longest makes room for one that suits.
 		oldest := len(skipped) - 1
 		p.open--
