--- a/toucanstair/toucantransport/transport.go
+++ b/toucanstair/toucantransport/transport.go
@@ -46,7 +46,7 @@
 	RequestID      string // id of the request, echoed by the target
 	Deadline       string // time left, in milliseconds
 	ExpectedTarget string // id of the target that the request is meant for
-	Signature      string // signature of a response
+	Signature      string // signature of a response, different for each
 	NotExecuted    string // set by a target that did not execute the request
 	Load           string // load that a target reports
 	ColdRemaining  string // remaining cold start of the target, in milliseconds
