Check the leg of a response before its connection is free again

A leg that waited for a connection failed ("connection to target broken") when the response before it belonged to another leg: net/http puts a connection back once the body is read, and the mismatch closed it under the next leg. The header is now checked before the body is read. TestLegDoesNotShareConnectionOfMisattributedResponse failed before. It remains possible for responses without a body.

--- a/toucanstair/toucanexchange/client.go
+++ b/toucanstair/toucanexchange/client.go
@@ -150,6 +150,12 @@
 	}
 	response := parseHeaders(httpResponse.Header)
 	response.MaybeSent, response.NewConnection = true, newConnection
+	// The connection is not yet in the pool while a body is due.
+	if err := headerError(httpResponse.Header, id); err != nil {
+		closeAndWait(usedConn)
+		httpResponse.Body.Close()
+		return response, err
+	}
 	responseBody, err := io.ReadAll(io.LimitReader(httpResponse.Body, maxBodyBytes+1))
 	response.Duration = time.Since(start)
 	if err != nil || len(responseBody) > maxBodyBytes {
@@ -162,10 +168,6 @@
 	}
 	httpResponse.Body.Close()
 	usedConn.endRequest()
-	if err := headerError(httpResponse.Header, id); err != nil {
-		closeAndWait(usedConn)
-		return response, err
-	}
 	if err := statusError(httpResponse, responseBody); err != nil {
 		return response, err
 	}
--- a/toucanstair/toucanexchange/client_test.go
+++ b/toucanstair/toucanexchange/client_test.go
@@ -276,6 +276,46 @@
 	}
 }
 
+// Guards against a leg that is lost because it got a connection whose last response
+// belonged to another leg.
+func TestLegDoesNotShareConnectionOfMisattributedResponse(t *testing.T) {
+	refuse := func(c net.Conn, id string) {
+		fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nToucan-Refused: 1\r\nToucan-Leg: %s\r\nContent-Length: 8\r\n\r\nrefused\n", id)
+	}
+	var refused atomic.Pointer[string]
+	secondArrived, thirdWaits := make(chan struct{}), make(chan struct{})
+	address, _ := rawTarget(t, func(c net.Conn, n int64, id string) {
+		switch n {
+		case 1:
+			refused.Store(&id)
+			refuse(c, id)
+		case 2:
+			close(secondArrived)
+			<-thirdWaits
+			refuse(c, *refused.Load()) // the copy
+		default:
+			write(c, respond(id, 3, 7))
+		}
+	})
+	var client toucanexchange.Client
+	defer client.Close()
+	do := func(query string) error {
+		r := request(address, leg(query))
+		r.MaxConnections = 1
+		_, err := client.Do(t.Context(), r)
+		return err
+	}
+	requireFault(t, do("q1"), toucanpb.Code_CODE_REFUSED, notRun)
+	second, third := make(chan error, 1), make(chan error, 1)
+	go func() { second <- do("q2") }()
+	<-secondArrived
+	go func() { third <- do("q3") }()
+	// The third leg waits for the only connection; nothing shows when it has begun to.
+	time.AfterFunc(20*time.Millisecond, func() { close(thirdWaits) })
+	requireFault(t, <-second, toucanpb.Code_CODE_INVALID, unknown)
+	require.NoError(t, <-third)
+}
+
 // Guards against net/http retrying a request when a kept-alive connection breaks
 // after the request was written.
 func TestBrokenConnectionDoesNotRetry(t *testing.T) {
