--- a/toucanstair/toucanexchange/client_test.go
+++ b/toucanstair/toucanexchange/client_test.go
@@ -276,6 +276,34 @@
 	}
 }
 
+// Guards against a non-idempotent request that is reported as not run because of a late
+// copy of a refusal of a target that does not return the id of the leg.
+func TestLateCopyOfRefusalWithoutLegDoesNotRefuseLaterLeg(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nToucan-Refused: 1\r\nContent-Length: 0\r\n\r\n"
+	var refusedOn net.Conn
+	address, _ := rawTarget(t, func(c net.Conn, n int64, id string) {
+		if n == 1 {
+			refusedOn = c
+		}
+		if c == refusedOn {
+			fmt.Fprint(c, refusal) // from the second request on the copy
+		}
+		if n > 1 {
+			write(c, respond(id, 3, 7))
+		}
+	})
+	var client toucanexchange.Client
+	defer client.Close()
+	_, err := client.Do(t.Context(), request(address, leg("q1")))
+	requireFault(t, err, toucanpb.Code_CODE_REFUSED, notRun)
+	l := leg("q2")
+	l.Once, l.Key = true, "k"
+	_, err = client.Do(t.Context(), request(address, l))
+	if err != nil {
+		require.NotEqual(t, notRun, toucanfault.As(err).Outcome, "%v", err)
+	}
+}
+
 // Guards against a leg that is lost because it got a connection whose last response
 // belonged to another leg.
 func TestLegDoesNotShareConnectionOfMisattributedResponse(t *testing.T) {
