--- a/toucanstair/toucantransport/attribution_test.go
+++ b/toucanstair/toucantransport/attribution_test.go
@@ -24,8 +24,9 @@
 	handled atomic.Int32                            // requests
 }
 
-// start listens until the end of the test and returns the address.
-func (s *stutteringTarget) start(t *testing.T) string {
+// serveConns serves each connection to a loopback address, which it returns, until the
+// end of the test.
+func serveConns(t *testing.T, serve func(net.Conn)) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	ended := make(chan struct{})
@@ -36,7 +37,7 @@
 			if err != nil {
 				return
 			}
-			go s.serve(c)
+			go serve(c)
 		}
 	}()
 	t.Cleanup(func() {
@@ -46,6 +47,9 @@
 	return l.Addr().String()
 }
 
+// start listens until the end of the test and returns the address.
+func (s *stutteringTarget) start(t *testing.T) string { return serveConns(t, s.serve) }
+
 func (s *stutteringTarget) serve(c net.Conn) {
 	defer c.Close()
 	r := bufio.NewReader(c)
--- a/toucanstair/toucantransport/refusal_test.go
+++ b/toucanstair/toucantransport/refusal_test.go
@@ -12,66 +12,61 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Guards against a non-idempotent request that counts as refused because the refusal that
-// its connection owed to an earlier request, and a copy of it, arrive while it waits.
-func TestCopyOfOverdueRefusalDoesNotRefuseNonIdempotentRequest(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
-	var ran atomic.Int32
-	withOwnID := func(text, id string) string {
+// overdueRefusal is a target that answers request 2 with a copy of the failure of request
+// 1 and refuses it only later. It runs request 3, after a copy of that refusal if the
+// request comes on the same connection.
+type overdueRefusal struct {
+	ran atomic.Int32 // runs of request 3
+}
+
+func (o *overdueRefusal) serve(c net.Conn) {
+	defer c.Close()
+	withID := func(text, id string) string {
 		return strings.Replace(text, "Content-Length", "Toucan-Id: "+id+"\r\nContent-Length", 1)
 	}
 	failure := strings.Replace(strings.Replace(refusal, "503 Service Unavailable", "500 X", 1), "Not-Run: 1\r\n", "", 1)
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
+	r := bufio.NewReader(c)
+	for n := 1; ; n++ {
+		q, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		var texts []string
+		switch id := q.Header.Get("Toucan-Id"); id {
+		case "1":
+			texts = []string{withID(failure, id)}
+		case "2":
+			texts = []string{withID(failure, id), withID(refusal, id)}
+		case "3":
+			o.ran.Add(1)
+			if n == 3 {
+				texts = []string{withID(refusal, id)}
+			}
+			texts = append(texts, signed(id, "s3", "ran"))
+		}
+		for _, text := range texts {
+			if _, err := c.Write([]byte(text)); err != nil {
 				return
 			}
-			go func() {
-				defer c.Close()
-				r := bufio.NewReader(c)
-				for n := 1; ; n++ {
-					q, err := http.ReadRequest(r)
-					if err != nil {
-						return
-					}
-					id := q.Header.Get("Toucan-Id")
-					text := ""
-					switch id {
-					case "1":
-						text = withOwnID(failure, id)
-					case "2": // the copy of the failure at once, its own refusal later
-						if _, err := c.Write([]byte(withOwnID(failure, id))); err != nil {
-							return
-						}
-						<-time.After(50 * time.Millisecond)
-						text = withOwnID(refusal, id)
-					case "3":
-						if n == 3 { // the copy of the refusal comes first
-							text = withOwnID(refusal, id)
-						}
-						ran.Add(1)
-						text += signed(id, "s3", "ran")
-					}
-					if _, err := c.Write([]byte(text)); err != nil {
-						return
-					}
-				}
-			}()
+			<-time.After(20 * time.Millisecond)
 		}
-	}()
-	transport := newSignedTransport()
+	}
+}
+
+// Guards against a non-idempotent request that counts as refused because the refusal that
+// its connection owed to an earlier request, and a copy of it, arrive while it waits.
+func TestCopyOfOverdueRefusalDoesNotRefuseNonIdempotentRequest(t *testing.T) {
+	target := &overdueRefusal{}
+	address, transport := serveConns(t, target.serve), newSignedTransport()
 	for _, id := range []string{"1", "2"} {
-		res, err := transport.Do(t.Context(), requestTo(l.Addr().String(), id), time.Second)
+		res, err := transport.Do(t.Context(), requestTo(address, id), time.Second)
 		require.NoError(t, err)
-		require.Equal(t, 500, res.Status)
+		require.Equal(t, http.StatusInternalServerError, res.Status)
 	}
-	q := requestTo(l.Addr().String(), "3")
+	q := requestTo(address, "3")
 	q.FreshConnection = true
 	res, err := transport.Do(t.Context(), q, time.Second)
-	if err == nil {
-		require.Empty(t, res.Header.Get("Not-Run"), "request 3 counts as refused, but it ran %d times", ran.Load())
-	}
+	require.NoError(t, err)
+	require.Empty(t, res.Header.Get("Not-Run"), "request 3 counts as refused, but it ran %d times", target.ran.Load())
+	require.Equal(t, "ran", string(res.Body))
 }
