Restart hosts with empty retry buckets

Cause: a new process filled three quarters of each bucket, whatever the one before it had spent, so that a round of restarts handed out more than the unused tenth of the slack.

A restarted host's buckets are empty and earn from its own first attempts. A host can then spend only what its buckets held at the start of a window and what it earned in it, however often it restarts.

Weighed: starting tokens that fit the unused tenth of the slack, less than one a host. Cost: a restarted host does not retry or hedge at a service before its sixth request to it, at a ratio of 0.2.

The test hosts of toucanforward relied on the free tokens and now earn theirs; no check is changed.

--- a/toucanstair/toucanforward/fake_test.go
+++ b/toucanstair/toucanforward/fake_test.go
@@ -144,7 +144,7 @@
 
 // newTestHost returns a host whose route fans out to the given number of shards,
 // or goes to a single service for 0. Each service has a target in zone a and one
-// in zone b.
+// in zone b. The retry budget has all its tokens, as if earned by earlier requests.
 func newTestHost(shards int, behave func(id toucanreplica.ID, nth int) behavior) *testHost {
 	route := &toucanrules.Route{
 		Name: "r", Host: "a.example", Prefix: "/p/", Idempotent: true, MaxAttempts: 2,
@@ -153,8 +153,11 @@
 	rules := &toucanrules.Rules{Version: 1, Routes: []*toucanrules.Route{route}, Services: map[toucanservice.Name]toucanrules.Service{}}
 	rules.Limits.MaxBodyBytes = 100
 	targetSet := &toucanbalancer.TargetSet{}
+	const burst = 100
+	retryBudget := &toucanretry.Budget{Ratio: burst, Burst: burst}
 	for i := range max(1, shards) {
 		s := toucanservice.Name(fmt.Sprint("s", i))
+		retryBudget.Deposit(s)
 		if shards > 0 {
 			route.Shards = append(route.Shards, s)
 		} else {
@@ -165,13 +168,14 @@
 		}
 	}
 	rules.BuildIndex()
+	retryBudget.Set(0.2, burst)
 	targets, config := &fakeTargets{behavior: behave}, &fakeConfig{rules: rules}
 	fullShare := func() float64 { return 1 }
 	return &testHost{&Forwarder{
 		Headers: testHeaders, Config: config, Targets: targetSet, Transport: targets, Log: zap.NewNop(),
 		Picker:      &toucanbalancer.Picker{Zone: "a", Region: "x", ZoneRegions: toucanrules.ZoneRegions{"a": "x", "b": "y"}},
 		Rollouts:    config,
-		RetryBudget: &toucanretry.Budget{Ratio: 0.2, Burst: 100}, ShardedShare: fullShare, UnshardedShare: fullShare,
+		RetryBudget: retryBudget, ShardedShare: fullShare, UnshardedShare: fullShare,
 	}, targets, config, route}
 }
 
--- a/toucanstair/toucanretry/budget.go
+++ b/toucanstair/toucanretry/budget.go
@@ -12,17 +12,23 @@
 // adds Ratio tokens and a retry or hedge takes one, so over any period a host
 // sends at most Ratio times its first attempts plus Burst retries and hedges.
 // With Burst divided among the hosts, the total over all hosts stays within the
-// operators' limit. The zero value allows no retries.
+// operators' limit. A bucket starts empty, since a host that replaces another one
+// cannot know how many tokens that one has spent; so restarts add no tokens. The
+// zero value allows no retries.
 type Budget struct {
 	Ratio float64 // tokens for each first attempt
 	Burst float64 // size of a bucket, in tokens
+	// FirstStart says that no host has run before, so that none has spent tokens. Buckets
+	// then start with initialFill.
+	FirstStart bool
 
 	mu     sync.Mutex
 	tokens map[toucanservice.Name]float64 // by service
 }
 
-// initialFill is the fraction of a new bucket that is filled. It is less than 1
-// because a starting host may replace one that has just spent its tokens.
+// initialFill is the fraction of a new bucket that is filled at the first start. It is
+// less than 1 because the hosts do not know each other yet, and each takes too large a
+// share of the operators' limit.
 const initialFill = 0.75
 
 // Set changes the ratio and the size of the buckets in tokens.
@@ -52,12 +58,13 @@
 	return true
 }
 
+// available returns the tokens of a bucket; the caller holds mu.
 func (b *Budget) available(s toucanservice.Name) float64 {
 	if b.tokens == nil {
 		b.tokens = make(map[toucanservice.Name]float64)
 	}
 	tokens, ok := b.tokens[s]
-	if !ok {
+	if !ok && b.FirstStart {
 		return initialFill * b.Burst
 	}
 	return tokens
--- a/toucanstair/toucanserver/server.go
+++ b/toucanstair/toucanserver/server.go
@@ -66,8 +66,8 @@
 	// the bytes of a message.
 	messageMemoryDivisor = 12
 	// slackShare and ratioShare are the fractions of the operators' retry budget
-	// that are used. The rest is for restarted hosts, whose new buckets start with
-	// tokens.
+	// that are used. The rest is for hosts that do not yet know of a change of the
+	// list of hosts, and for retries that arrive in a later window than they are sent.
 	slackShare = 0.9
 	ratioShare = 0.95
 	// reloadInterval is how often the settings are read again, since they may
@@ -92,7 +92,8 @@
 	MetricsAddress   string // "ip:port" for metrics; "": none
 	MemoryLimit      int64  // bytes
 	GracePeriod      time.Duration
-	MinHosts         int // least number of hosts that run at the same time
+	MinHosts         int  // least number of hosts that run at the same time
+	FirstStart       bool // no host has run before
 	RetryBudget      RetryBudget
 	MaxPropagation   time.Duration // limit for a change in the store to take effect
 	PeerAddress      string        // "ip:port" for the other hosts; "": none
@@ -156,7 +157,7 @@
 	rollouts.Peers = follower.Peers
 	placer := &toucanplacement.Placer{Self: self, MinHosts: max(1, settings.MinHosts)}
 	placer.Update(nil)
-	retryBudget := &toucanretry.Budget{}
+	retryBudget := &toucanretry.Budget{FirstStart: settings.FirstStart}
 	s.setRetryBudget(retryBudget, placer)
 	forwarder := &toucanforward.Forwarder{
 		Headers: s.Headers, Config: follower, Targets: targets, Transport: transport, Rollouts: rollouts, Log: s.Log,
