--- a/toucanstair/toucanexchange/client.go
+++ b/toucanstair/toucanexchange/client.go
@@ -150,7 +150,7 @@
 	}
 	response := parseHeaders(httpResponse.Header)
 	response.MaybeSent, response.NewConnection = true, newConnection
-	// The connection is not yet in the pool while a body is due.
+	// Once the body is read, net/http gives the connection to the next leg.
 	if err := headerError(httpResponse.Header, id); err != nil {
 		closeAndWait(usedConn)
 		httpResponse.Body.Close()
--- a/toucanstair/toucantransport/pool.go
+++ b/toucanstair/toucantransport/pool.go
@@ -98,7 +98,7 @@
 	if idle >= maxIdle {
 		return false
 	}
-	// Data that arrived before the request is no response to it. Ids tell that too.
+	// Unread data is no response to r. Ids show that too, without a system call.
 	probe := r.FreshConnection || !c.history.echoesID || idle >= skipProbeWithin
 	return !probe || c.usable()
 }
