--- a/toucanstair/toucanbalancer/targetset_test.go
+++ b/toucanstair/toucanbalancer/targetset_test.go
@@ -204,8 +204,7 @@
 	require.True(t, set.Candidates("s")[0].IsCold(now.Add(time.Second)))
 }
 
-// Guards against a target that turns cold a second time for as long as the first: its
-// entry is the same, and it would get requests at the full rate.
+// Guards against a full rate in a second cold time that is as long as the first.
 func TestTargetTurnsColdAgainWithSameEntry(t *testing.T) {
 	var set toucanbalancer.TargetSet
 	now := time.Now()
--- a/toucanstair/toucanexchange/client_test.go
+++ b/toucanstair/toucanexchange/client_test.go
@@ -246,9 +246,7 @@
 	received.requireNone(t, notRunQueries)
 }
 
-// Guards against a non-idempotent request that is reported as not run because of a late
-// copy of a refusal, although the target runs it, and against one that answers a later
-// attempt of the same leg.
+// Guards against a leg that is reported as not run because of a late copy of a refusal.
 func TestLateCopyOfRefusalDoesNotRefuseLaterLeg(t *testing.T) {
 	refuse := func(c net.Conn, id string) {
 		fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nToucan-Refused: 1\r\nToucan-Leg: %s\r\nContent-Length: 0\r\n\r\n", id)
@@ -276,8 +274,7 @@
 	}
 }
 
-// Guards against a non-idempotent request that is reported as not run because of a late
-// copy of a refusal of a target that does not return the id of the leg.
+// Guards against the same for a target that does not return the id of the leg.
 func TestLateCopyOfRefusalWithoutLegDoesNotRefuseLaterLeg(t *testing.T) {
 	skipKnownFailure(t)
 	const refusal = "HTTP/1.1 503 Service Unavailable\r\nToucan-Refused: 1\r\nContent-Length: 0\r\n\r\n"
@@ -305,8 +302,7 @@
 	}
 }
 
-// Guards against a leg that is lost because it got a connection whose last response
-// belonged to another leg.
+// Guards against a leg that is lost with the connection of a response to another leg.
 func TestLegDoesNotShareConnectionOfMisattributedResponse(t *testing.T) {
 	refuse := func(c net.Conn, id string) {
 		fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nToucan-Refused: 1\r\nToucan-Leg: %s\r\nContent-Length: 8\r\n\r\nrefused\n", id)
--- a/toucanstair/toucanfollower/follower_test.go
+++ b/toucanstair/toucanfollower/follower_test.go
@@ -207,8 +207,7 @@
 	})
 }
 
-// Guards against a mirror that drops a target's second cold time, so that the hosts that
-// follow this one never learn of it, and against a change for each heartbeat.
+// Guards against a second cold time that followers never learn of, and a change for each heartbeat.
 func TestEachColdTimeIsSignificant(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newFakeStore()
--- a/toucanstair/toucanforward/gateway_test.go
+++ b/toucanstair/toucanforward/gateway_test.go
@@ -179,8 +179,7 @@
 	return nil
 }
 
-// Guards against a gathering host that takes the end of its call's deadline for a caller
-// that has left and replies without a status.
+// Guards against a reply without a status when the deadline of the call has passed.
 func TestGatherRepliesWithStatusAtDeadlineOfCall(t *testing.T) {
 	for name, c := range map[string]struct {
 		responding, status int
@@ -214,8 +213,7 @@
 	return c.reply, nil
 }
 
-// Guards against a panic on a reply without a status, which closed the caller's
-// connection without a response.
+// Guards against a panic on a reply without a status, which closed the caller's connection.
 func TestReplyWithoutStatusEndsRequestWithTimeout(t *testing.T) {
 	weak := newTestHost(8, fastTarget)
 	placer := &toucanplacement.Placer{Self: toucansource.Peer{ID: "weak", Zone: "a", CPUMillis: 100}}
--- a/toucanstair/toucanforward/halfclose_test.go
+++ b/toucanstair/toucanforward/halfclose_test.go
@@ -14,8 +14,7 @@
 	"toucanstair.example/core/toucanreplica"
 )
 
-// Guards against an empty success for a caller that has closed its sending side while it
-// still reads, as net/http sends one for a handler that writes nothing.
+// Guards against the empty success that net/http sends for a handler that writes nothing.
 func TestHalfClosedCallerGetsNoEmptySuccess(t *testing.T) {
 	host := newTestHost(0, func(toucanreplica.ID, int) behavior { return neverResponds() })
 	server := httptest.NewServer(host)
--- a/toucanstair/toucantransport/attribution_test.go
+++ b/toucanstair/toucantransport/attribution_test.go
@@ -90,8 +90,7 @@
 	return before + "Toucan-Id: " + id + "\r\n" + after
 }
 
-// Guards against a copy of an earlier response that is taken for the response of the
-// waiting request because it has that request's id, has none, or comes several exchanges late.
+// Guards against a copy of an earlier response that is taken for the response of the waiting request.
 func TestCopyOfEarlierResponseNeverAnswersLaterRequest(t *testing.T) {
 	echoing := func(_ int, id string) string { return signed(id, "s"+id, "own "+id) }
 	silent := func(_ int, id string) string { return signed("", "s"+id, "own "+id) }
@@ -137,8 +136,7 @@
 	}
 }
 
-// Guards against a copy of a refusal that answers the second attempt of the same request,
-// whose own response then answers the third.
+// Guards against a copy of a refusal that answers the next attempt of the same request.
 func TestCopyOfRefusalDoesNotAnswerNextAttemptOfSameRequest(t *testing.T) {
 	for name, limit := range map[string]int{"new connections": 0, "one connection": 1} {
 		t.Run(name, func(t *testing.T) {
--- a/toucanstair/toucantransport/log_test.go
+++ b/toucanstair/toucantransport/log_test.go
@@ -8,8 +8,7 @@
 	"go.uber.org/zap/zaptest/observer"
 )
 
-// Guards against a skipped response that leaves no trace of its connection, id and
-// signature.
+// Guards against a skipped response that leaves no trace of its connection, id and signature.
 func TestSkippedResponseIsLogged(t *testing.T) {
 	tg := listen(t, func(nth int, id string) string {
 		if nth == 2 {
--- a/toucanstair/toucantransport/method_test.go
+++ b/toucanstair/toucantransport/method_test.go
@@ -12,8 +12,7 @@
 	"toucanstair.example/toucanstair/toucantransport"
 )
 
-// Guards against a late copy of a response whose end is misjudged because the waiting
-// request has another method: a response to HEAD has a length but no body.
+// Guards against a late copy whose end is misjudged, because only one of the two methods is HEAD.
 func TestLateCopyIsSkippedAfterChangeOfMethod(t *testing.T) {
 	for name, methods := range map[string][2]string{
 		"GET after HEAD": {http.MethodHead, http.MethodGet},
--- a/toucanstair/toucantransport/refusal_test.go
+++ b/toucanstair/toucantransport/refusal_test.go
@@ -53,8 +53,7 @@
 	}
 }
 
-// Guards against a non-idempotent request that counts as refused because the refusal that
-// its connection owed to an earlier request, and a copy of it, arrive while it waits.
+// Guards against a non-idempotent request that counts as refused because of an overdue refusal.
 func TestCopyOfOverdueRefusalDoesNotRefuseNonIdempotentRequest(t *testing.T) {
 	target := &overdueRefusal{}
 	address, transport := serveConns(t, target.serve), newSignedTransport()
