Log whether a response of a target had the id of its request

The answer of a request line has the field echoed, notes in the trail say "without its id", and toucan_send_unidentified_responses_total counts such responses on connections that had carried other requests.

--- a/toucanstair/toucanforward/leg.go
+++ b/toucanstair/toucanforward/leg.go
@@ -313,7 +313,11 @@
 
 // describeExchange returns the connection of a response and its use, for the log.
 func describeExchange(res *toucantransport.Response) string {
-	return " on " + res.Exchange.Connection + " #" + strconv.Itoa(res.Exchange.Number)
+	text := " on " + res.Exchange.Connection + " #" + strconv.Itoa(res.Exchange.Number)
+	if !res.Exchange.Echoed {
+		text += " without its id"
+	}
+	return text
 }
 
 // resultClass is the class of an attempt's result.
--- a/toucanstair/toucanforward/requestlog.go
+++ b/toucanstair/toucanforward/requestlog.go
@@ -46,6 +46,7 @@
 	e.AddString("target", string(a.target))
 	e.AddString("connection", a.exchange.Connection)
 	e.AddInt("exchange", a.exchange.Number)
+	e.AddBool("echoed", a.exchange.Echoed)
 	e.AddString("signature", a.exchange.Signature)
 	return nil
 }
--- a/toucanstair/toucantransport/log_test.go
+++ b/toucanstair/toucantransport/log_test.go
@@ -35,3 +35,18 @@
 		"request": "2", "target": "t1", "reason": "other id", "exchange": int64(2), "status": int64(200), "id": "1", "signature": "s1",
 	}, fields)
 }
+
+// Guards against log lines that do not tell a response with the id of its request from one without.
+func TestExchangeTellsResponsesWithoutAnID(t *testing.T) {
+	for _, echoes := range []bool{true, false} {
+		tg := listen(t, func(_ int, id string) string {
+			if !echoes {
+				return signed("", "s"+id, "own "+id)
+			}
+			return signed(id, "s"+id, "own "+id)
+		})
+		res, err := do(t, newSignedTransport(), tg, "1")
+		require.NoError(t, err)
+		require.Equal(t, echoes, res.Exchange.Echoed)
+	}
+}
--- a/toucanstair/toucantransport/transport.go
+++ b/toucanstair/toucantransport/transport.go
@@ -36,6 +36,9 @@
 	dialCount = metrics.NewCounter("toucan_send_dials_total")
 	// earlyResponses counts responses that arrived before the request body was written.
 	earlyResponses = metrics.NewCounter("toucan_send_early_responses_total")
+	// unidentifiedResponses counts responses without an id on connections that have carried
+	// other requests.
+	unidentifiedResponses = metrics.NewCounter("toucan_send_unidentified_responses_total")
 	// oversizedResponses counts responses that were cut off at a limit.
 	oversizedResponses = metrics.NewCounter("toucan_send_oversized_responses_total")
 )
@@ -122,6 +125,7 @@
 type Exchange struct {
 	Connection string // local address
 	Number     int    // of the requests that the connection has carried, this one included
+	Echoed     bool   // the response had the id of its request
 	Signature  string // of the response, cut off at maxLoggedHeaderBytes
 }
 
@@ -192,7 +196,13 @@
 	c.limit.memory = nil
 	if err == nil {
 		res.memory = memory
-		res.Exchange = Exchange{Connection: c.LocalAddr().String(), Number: len(c.history.requests), Signature: clip(res.Header.Get(t.Headers.Signature))}
+		res.Exchange = Exchange{
+			Connection: c.LocalAddr().String(), Number: len(c.history.requests),
+			Echoed: res.Header.Get(t.Headers.RequestID) != "", Signature: clip(res.Header.Get(t.Headers.Signature)),
+		}
+		if !res.Exchange.Echoed && res.Exchange.Number > 1 {
+			unidentifiedResponses.Inc()
+		}
 	}
 	if !stop() || err != nil || !reuse {
 		p.discard(c)
