Take a response without an id only as the first one of a connection

Cause: a response without an id was taken for the one that is due unless a success on this connection had had an id. A failure with an id did not count, a refusal or failure without one was taken always, and a target that echoes no ids was told from its copies by signatures only, which a second answer need not repeat.

Fix: on a connection that has carried other requests, only a response with the id of the request counts; others are skipped. On the first exchange there is no earlier request, so a response without an id is taken, and the connection is closed after it. Proof of which request a response answers no longer depends on what the target sent before.

A target that leaves out the id gets a connection for each request: the pool notes it at a first response without an id, or when a request ended after one was skipped, so that at most the requests in flight wait for a refusal that they can't attribute.

TestSecondAnswerWithoutIDDoesNotAnswerNextRequest (4 of 4 cases) and TestRefusalsWithoutIDAreKnownAfterTheFirst failed before. TestTargetWithoutIDsGetsOneRequestForEachConnection sends both kinds behind each response; it and the cases "without an id" of TestCopyOfEarlierResponseNeverAnswersLaterRequest hold.

--- a/toucanstair/toucantransport/pool.go
+++ b/toucanstair/toucantransport/pool.go
@@ -58,6 +58,7 @@
 	r           *bufio.Reader
 	limit       *limitedReader // below r
 	unused      bool           // no response was read from it yet
+	missedID    bool           // a response without an id was skipped while the present request waited
 	idleTimeout time.Duration  // after which the target closes an idle connection
 	lastUsed    time.Time
 	history     history
@@ -99,7 +100,7 @@
 		return false
 	}
 	// Unread data is no response to r. Ids show that too, without a system call.
-	probe := r.FreshConnection || !c.history.echoesID || idle >= skipProbeWithin
+	probe := r.FreshConnection || idle >= skipProbeWithin
 	return !probe || c.usable()
 }
 
@@ -173,6 +174,7 @@
 	idle         []*conn // most recently used last
 	open         int     // number of idle connections and those in use
 	closed       bool
+	omitsIDs     bool      // the target leaves the id out of responses; no connection is used again
 	reducedLimit int       // limit after the target reset a new connection, at least 1
 	reducedUntil time.Time // end of the reduced limit
 }
@@ -259,12 +261,24 @@
 	return n > 0 && time.Since(p.idle[n-1].lastUsed) < p.idle[n-1].idleTimeout-idleMargin
 }
 
+// stopReuse ends the reuse of connections, because a response without an id can be told
+// from a late one to another request only on a connection that has carried one request.
+func (p *pool) stopReuse() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.omitsIDs {
+		omittedIDs.Inc()
+	}
+	p.omitsIDs = true
+	p.closeIdle()
+}
+
 // release puts a connection back after a complete response.
 func (p *pool) release(c *conn) {
 	c.lastUsed, c.unused = time.Now(), false
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed {
+	if p.closed || p.omitsIDs {
 		p.open--
 		c.Close()
 		return
@@ -285,6 +299,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
+	p.closeIdle()
+}
+
+// closeIdle closes the idle connections; the caller holds mu.
+func (p *pool) closeIdle() {
 	for _, c := range p.idle {
 		c.Close()
 	}
--- a/toucanstair/toucantransport/transport.go
+++ b/toucanstair/toucantransport/transport.go
@@ -36,9 +36,8 @@
 	dialCount = metrics.NewCounter("toucan_send_dials_total")
 	// earlyResponses counts responses that arrived before the request body was written.
 	earlyResponses = metrics.NewCounter("toucan_send_early_responses_total")
-	// unidentifiedResponses counts responses without an id on connections that have carried
-	// other requests.
-	unidentifiedResponses = metrics.NewCounter("toucan_send_unidentified_responses_total")
+	// omittedIDs counts targets that were found to leave the id out of responses.
+	omittedIDs = metrics.NewCounter("toucan_send_targets_without_ids_total")
 	// oversizedResponses counts responses that were cut off at a limit.
 	oversizedResponses = metrics.NewCounter("toucan_send_oversized_responses_total")
 )
@@ -192,6 +191,7 @@
 	memory := &reservation{quota: t.Memory}
 	c.limit.memory = memory
 	c.history.begin(r.Message)
+	c.missedID = false
 	res, reuse, err := t.roundTrip(c, r, timeLeft)
 	c.limit.memory = nil
 	if err == nil {
@@ -200,9 +200,9 @@
 			Connection: c.LocalAddr().String(), Number: len(c.history.requests),
 			Echoed: res.Header.Get(t.Headers.RequestID) != "", Signature: clip(res.Header.Get(t.Headers.Signature)),
 		}
-		if !res.Exchange.Echoed && res.Exchange.Number > 1 {
-			unidentifiedResponses.Inc()
-		}
+	}
+	if err == nil && !res.Exchange.Echoed || err != nil && c.missedID {
+		p.stopReuse()
 	}
 	if !stop() || err != nil || !reuse {
 		p.discard(c)
@@ -306,6 +306,7 @@
 		if reason := c.history.strayReason(t.Headers, r.Message.ID, res); reason != "" {
 			t.logStray(c, r, res, reason)
 			c.history.record(t.Headers, res)
+			c.missedID = c.missedID || reason == noID
 			if last {
 				return nil, false, errNoFinalResponse
 			}
@@ -313,8 +314,9 @@
 			continue
 		}
 		c.setIdleTimeout(res.Header.Get("Keep-Alive"))
-		recognizable := c.history.record(t.Headers, res)
-		return res, !last && recognizable && !c.history.full() && c.r.Buffered() == 0, nil
+		c.history.record(t.Headers, res)
+		echoed := res.Header.Get(t.Headers.RequestID) != ""
+		return res, !last && echoed && !c.history.full() && c.r.Buffered() == 0, nil
 	}
 	return nil, false, errNoFinalResponse
 }
