Give up a body that has another response of the target in it

Cause: a response without a length ends with its connection, and one that was cut short ends when so many bytes have come. The second answer was read as the rest of the body.

Fix: a body with a response head in it that has an id or a signature is not whole, also where the head begins within the body and goes on in bytes that are already read. The attempt fails as one that may have run: idempotent requests are sent to another target. Bodies that merely quote HTTP are left alone (TestBodiesThatResembleResponsesAreWhole), and the search takes linear time.

Left: a second answer without id and signature behind a body that was cut short; bytes of a head that had not arrived when the body ended.

--- a/toucanstair/toucantransport/transport.go
+++ b/toucanstair/toucantransport/transport.go
@@ -38,6 +38,8 @@
 	earlyResponses = metrics.NewCounter("toucan_send_early_responses_total")
 	// omittedIDs counts targets that were found to leave the id out of responses.
 	omittedIDs = metrics.NewCounter("toucan_send_targets_without_ids_total")
+	// brokenBodies counts responses whose body has another response in it.
+	brokenBodies = metrics.NewCounter("toucan_send_broken_bodies_total")
 	// oversizedResponses counts responses that were cut off at a limit.
 	oversizedResponses = metrics.NewCounter("toucan_send_oversized_responses_total")
 )
@@ -277,6 +279,7 @@
 	errNoFinalResponse = constError("only interim responses or responses to other requests arrived")
 	errTooLarge        = constError("the response is larger than the limit")
 	errNoMemory        = constError("the responses in memory have reached the limit")
+	errBrokenBody      = constError("the body has another response in it")
 	errConnectionLimit = constError("the limit of connections to the target is reached")
 )
 
@@ -313,6 +316,10 @@
 			skipped++
 			continue
 		}
+		if holdsResponse(t.Headers, res.Body, c.r) {
+			brokenBodies.Inc()
+			return nil, false, errBrokenBody
+		}
 		c.setIdleTimeout(res.Header.Get("Keep-Alive"))
 		c.history.record(t.Headers, res)
 		echoed := res.Header.Get(t.Headers.RequestID) != ""
