--- a/toucanstair/toucantransport/transport.go
+++ b/toucanstair/toucantransport/transport.go
@@ -36,6 +36,10 @@
 	dialCount = metrics.NewCounter("toucan_send_dials_total")
 	// earlyResponses counts responses that arrived before the request body was written.
 	earlyResponses = metrics.NewCounter("toucan_send_early_responses_total")
+	// omittedIDs counts targets that were found to leave the id out of responses.
+	omittedIDs = metrics.NewCounter("toucan_send_targets_without_ids_total")
+	// brokenBodies counts responses whose body has another response in it.
+	brokenBodies = metrics.NewCounter("toucan_send_broken_bodies_total")
 	// oversizedResponses counts responses that were cut off at a limit.
 	oversizedResponses = metrics.NewCounter("toucan_send_oversized_responses_total")
 )
@@ -122,6 +126,7 @@
 type Exchange struct {
 	Connection string // local address
 	Number     int    // of the requests that the connection has carried, this one included
+	Echoed     bool   // the response had the id of its request
 	Signature  string // of the response, cut off at maxLoggedHeaderBytes
 }
 
@@ -188,11 +193,18 @@
 	memory := &reservation{quota: t.Memory}
 	c.limit.memory = memory
 	c.history.begin(r.Message)
+	c.missedID = false
 	res, reuse, err := t.roundTrip(c, r, timeLeft)
 	c.limit.memory = nil
 	if err == nil {
 		res.memory = memory
-		res.Exchange = Exchange{Connection: c.LocalAddr().String(), Number: len(c.history.requests), Signature: clip(res.Header.Get(t.Headers.Signature))}
+		res.Exchange = Exchange{
+			Connection: c.LocalAddr().String(), Number: len(c.history.requests),
+			Echoed: res.Header.Get(t.Headers.RequestID) != "", Signature: clip(res.Header.Get(t.Headers.Signature)),
+		}
+	}
+	if err == nil && !res.Exchange.Echoed || err != nil && c.missedID {
+		p.stopReuse()
 	}
 	if !stop() || err != nil || !reuse {
 		p.discard(c)
@@ -267,6 +279,7 @@
 	errNoFinalResponse = constError("only interim responses or responses to other requests arrived")
 	errTooLarge        = constError("the response is larger than the limit")
 	errNoMemory        = constError("the responses in memory have reached the limit")
+	errBrokenBody      = constError("the body has another response in it")
 	errConnectionLimit = constError("the limit of connections to the target is reached")
 )
 
@@ -296,15 +309,21 @@
 		if reason := c.history.strayReason(t.Headers, r.Message.ID, res); reason != "" {
 			t.logStray(c, r, res, reason)
 			c.history.record(t.Headers, res)
+			c.missedID = c.missedID || reason == noID
 			if last {
 				return nil, false, errNoFinalResponse
 			}
 			skipped++
 			continue
 		}
+		if holdsResponse(t.Headers, res.Body, c.r) {
+			brokenBodies.Inc()
+			return nil, false, errBrokenBody
+		}
 		c.setIdleTimeout(res.Header.Get("Keep-Alive"))
-		recognizable := c.history.record(t.Headers, res)
-		return res, !last && recognizable && !c.history.full() && c.r.Buffered() == 0, nil
+		c.history.record(t.Headers, res)
+		echoed := res.Header.Get(t.Headers.RequestID) != ""
+		return res, !last && echoed && !c.history.full() && c.r.Buffered() == 0, nil
 	}
 	return nil, false, errNoFinalResponse
 }
