Learn for each kind of response whether a target has ids in it

A failure with no known id was skipped, and the target's second answer to the same request was taken as a success.

Cause: a response without an id was skipped on a kept connection whatever the target was known to do, any failure after that counted as proof of omitted ids, for good, and any id but the own one counted as that of an earlier request.

Fix: a pool knows for successes, refusals and failures whether the target has the id in them, from responses whose request is certain. A response without an id is skipped as a late one only if the target has the id in this kind. Otherwise, and with an id that the connection has never carried, it ends the exchange as one that may have run, and connections are not used again until such a response has come with its id. Responses with ids of earlier requests are skipped up to 32 times, not 4.

TestSecondAnswerWithoutIDDoesNotAnswerNextRequest accepts an error for the first such request, and asks for the own response from then on; its target now sends the second answer on the connection of the first only, as servers do. TestAnswerWithoutIDIsSkippedOnceItsTargetEchoesSuch guards against losing more. Left: a failure without its id, of a target that has ids in failures, whose second answer has it.

--- a/toucanstair/toucantransport/history.go
+++ b/toucanstair/toucantransport/history.go
@@ -40,19 +40,21 @@
 // Reasons for which a response is stray.
 const (
 	otherID           = "other id"
+	unknownID         = "unknown id"
 	noID              = "no id"
 	repeatedSignature = "repeated signature"
 )
 
 // strayReason returns why a response belongs to an earlier request of the connection, or
-// "" if it is the response to the request with this id. It is stray if it has another id,
-// none although the connection has carried other requests, or the signature of an earlier
-// response.
+// may do so, or "" if it is the response to the request with this id. With unknownID and
+// noID it may be a response to this request all the same.
 func (h *history) strayReason(names Headers, id string, res *Response) string {
 	echo, signature := res.Header.Get(names.RequestID), res.Header.Get(names.Signature)
 	switch {
-	case echo != "" && echo != id:
+	case echo != "" && echo != id && h.carried(echo):
 		return otherID
+	case echo != "" && echo != id:
+		return unknownID
 	case signature != "" && slices.Contains(h.signatures, maphash.String(hashSeed, signature)):
 		return repeatedSignature
 	case echo == "" && len(h.requests) > 1:
--- a/toucanstair/toucantransport/identity_test.go
+++ b/toucanstair/toucantransport/identity_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"toucanstair.example/toucanstair/toucantransport"
 )
 
 // without returns a response without the headers of the given names.
@@ -42,23 +44,50 @@
 		"an unsigned refusal after a signed failure": {failure, refusal},
 	} {
 		t.Run(name, func(t *testing.T) {
-			tg := listen(t, func(nth int, id string) string {
+			target := &stutteringTarget{lag: 1, respond: func(nth int, id string) string {
 				if nth == 1 {
 					return answers[0]
 				}
-				return answers[1] + signed(id, "s"+id, "own "+id)
-			})
-			transport := newSignedTransport()
-			_, err := do(t, transport, tg, "1")
-			require.NoError(t, err)
-			res, err := do(t, transport, tg, "2")
-			require.NoError(t, err)
-			require.Equal(t, http.StatusOK, res.Status)
-			require.Equal(t, "own 2", string(res.Body))
+				return signed(id, "s"+id, "own "+id)
+			}, again: func(response, _ string) string {
+				if response == answers[0] {
+					return answers[1]
+				}
+				return ""
+			}}
+			address, transport := target.start(t), newSignedTransport()
+			for n, id := range []string{"1", "2", "3", "4"} {
+				res, err := transport.Do(t.Context(), requestTo(address, id), time.Second)
+				switch {
+				case n == 1 && err != nil:
+					require.Equal(t, toucantransport.MaybeExecuted, failureKind(t, err), "whose answer it is can't be known yet")
+				case n > 0:
+					require.NoError(t, err)
+					require.Equal(t, http.StatusOK, res.Status)
+					require.Equal(t, "own "+id, string(res.Body))
+				}
+			}
 		})
 	}
 }
 
+// Guards against requests that are lost to late answers without an id, although the target is known to echo ids.
+func TestAnswerWithoutIDIsSkippedOnceItsTargetEchoesSuch(t *testing.T) {
+	target := &stutteringTarget{lag: 2, respond: func(nth int, id string) string {
+		if nth%2 == 0 {
+			return withStatus(signed(id, "s"+id, ""), "500 X")
+		}
+		return signed(id, "s"+id, "own "+id)
+	}, again: func(response, _ string) string { return without(response, "Toucan-Id", "Stamp") }}
+	address, transport := target.start(t), newSignedTransport()
+	for n, id := range strings.Split("abcdefgh", "") {
+		res, err := transport.Do(t.Context(), requestTo(address, id), time.Second)
+		require.NoError(t, err)
+		require.Equal(t, id, res.Header.Get("Toucan-Id"))
+		require.Equal(t, n+1, res.Exchange.Number, "one connection carries all requests")
+	}
+}
+
 // Guards against a second answer that no check can recognize, because its target echoes no ids.
 func TestTargetWithoutIDsGetsOneRequestForEachConnection(t *testing.T) {
 	tg := listen(t, func(_ int, id string) string { return signed("", "s"+id, "own "+id) + signed("", "x"+id, "second "+id) })
@@ -85,7 +114,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
 	_, err = transport.Do(ctx, request(tg, "2", 0), time.Second)
-	require.Error(t, err, "whose refusal it is can't be known")
+	require.Error(t, err, "whose refusal it is can't be known yet")
 	for _, id := range []string{"3", "4", "5"} {
 		res, err := do(t, transport, tg, id)
 		require.NoError(t, err)
--- a/toucanstair/toucantransport/pool.go
+++ b/toucanstair/toucantransport/pool.go
@@ -57,9 +57,9 @@
 	net.Conn
 	r           *bufio.Reader
 	limit       *limitedReader // below r
-	unused      bool           // no response was read from it yet
-	missedID    bool           // a response without an id was skipped while the present request waited
-	idleTimeout time.Duration  // after which the target closes an idle connection
+	pool        *pool
+	unused      bool          // no response was read from it yet
+	idleTimeout time.Duration // after which the target closes an idle connection
 	lastUsed    time.Time
 	history     history
 }
@@ -174,7 +174,7 @@
 	idle         []*conn // most recently used last
 	open         int     // number of idle connections and those in use
 	closed       bool
-	omitsIDs     bool      // the target leaves the id out of responses; no connection is used again
+	echo         [responseKinds]echo
 	reducedLimit int       // limit after the target reset a new connection, at least 1
 	reducedUntil time.Time // end of the reduced limit
 }
@@ -250,7 +250,7 @@
 		return nil, Unreachable, err
 	}
 	limit := &limitedReader{r: c}
-	return &conn{Conn: c, r: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, unused: true}, 0, nil
+	return &conn{Conn: c, r: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, pool: p, unused: true}, 0, nil
 }
 
 // hasIdle reports whether there is an idle connection that has not timed out.
@@ -261,24 +261,12 @@
 	return n > 0 && time.Since(p.idle[n-1].lastUsed) < p.idle[n-1].idleTimeout-idleMargin
 }
 
-// stopReuse ends the reuse of connections, because a response without an id can be told
-// from a late one to another request only on a connection that has carried one request.
-func (p *pool) stopReuse() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !p.omitsIDs {
-		omittedIDs.Inc()
-	}
-	p.omitsIDs = true
-	p.closeIdle()
-}
-
 // release puts a connection back after a complete response.
 func (p *pool) release(c *conn) {
 	c.lastUsed, c.unused = time.Now(), false
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || p.omitsIDs {
+	if p.closed || p.omitsIDs() {
 		p.open--
 		c.Close()
 		return
--- a/toucanstair/toucantransport/transport.go
+++ b/toucanstair/toucantransport/transport.go
@@ -22,7 +22,7 @@
 
 const (
 	// maxStrayResponses bounds the responses to earlier requests that are skipped.
-	maxStrayResponses = 4
+	maxStrayResponses = 32
 	// maxInterimResponses bounds the 1xx responses before the final one.
 	maxInterimResponses = 8
 	// minConcurrentBody is the size of a request body, in bytes, from which the response
@@ -36,7 +36,7 @@
 	dialCount = metrics.NewCounter("toucan_send_dials_total")
 	// earlyResponses counts responses that arrived before the request body was written.
 	earlyResponses = metrics.NewCounter("toucan_send_early_responses_total")
-	// omittedIDs counts targets that were found to leave the id out of responses.
+	// omittedIDs counts how often a target was found to leave the id out of responses.
 	omittedIDs = metrics.NewCounter("toucan_send_targets_without_ids_total")
 	// mixedResponses counts responses that have a part of another one in them.
 	mixedResponses = metrics.NewCounter("toucan_send_mixed_responses_total")
@@ -193,7 +193,6 @@
 	memory := &reservation{quota: t.Memory}
 	c.limit.memory = memory
 	c.history.begin(r.Message)
-	c.missedID = false
 	res, reuse, err := t.roundTrip(c, r, timeLeft)
 	c.limit.memory = nil
 	if err == nil {
@@ -203,9 +202,6 @@
 			Echoed: res.Header.Get(t.Headers.RequestID) != "", Signature: clip(res.Header.Get(t.Headers.Signature)),
 		}
 	}
-	if err == nil && !res.Exchange.Echoed || err != nil && c.missedID {
-		p.stopReuse()
-	}
 	if !stop() || err != nil || !reuse {
 		p.discard(c)
 	} else {
@@ -279,6 +275,7 @@
 	errNoFinalResponse = constError("only interim responses or responses to other requests arrived")
 	errTooLarge        = constError("the response is larger than the limit")
 	errNoMemory        = constError("the responses in memory have reached the limit")
+	errUnattributed    = constError("the response may be one to another request")
 	errMixedResponse   = constError("the response has a part of another one in it")
 	errConnectionLimit = constError("the limit of connections to the target is reached")
 )
@@ -289,7 +286,8 @@
 func (e constError) Error() string { return string(e) }
 
 // readResponse returns the response to r and whether the connection can be reused.
-// Responses to earlier requests are skipped.
+// Responses to earlier requests are skipped. One that may be to an earlier request or to
+// this one ends the exchange, because a second response to r could come next.
 func (t *Transport) readResponse(c *conn, r *Request) (*Response, bool, error) {
 	request := &http.Request{Method: r.Message.Method}
 	maxBytes := int64(maxBodyBytes)
@@ -306,19 +304,25 @@
 			interim++
 			continue
 		}
+		kind, echoed := t.Headers.kind(res), res.Header.Get(t.Headers.RequestID) != ""
 		if reason := c.history.strayReason(t.Headers, r.Message.ID, res); reason != "" {
 			t.logStray(c, r, res, reason)
 			c.history.record(t.Headers, res)
-			c.missedID = c.missedID || reason == noID
-			if last {
+			switch {
+			case reason == unknownID:
+				return nil, false, errUnattributed
+			case reason == noID && !c.pool.echoes(kind):
+				c.pool.recordEcho(kind, false)
+				return nil, false, errUnattributed
+			case last:
 				return nil, false, errNoFinalResponse
 			}
 			skipped++
 			continue
 		}
+		c.pool.recordEcho(kind, echoed)
 		c.setIdleTimeout(res.Header.Get("Keep-Alive"))
 		c.history.record(t.Headers, res)
-		echoed := res.Header.Get(t.Headers.RequestID) != ""
 		return res, !last && echoed && !c.history.full() && c.r.Buffered() == 0, nil
 	}
 	return nil, false, errNoFinalResponse
