Close as many unsuitable idle connections as make room for one that suits

What callers saw: after the limit of connections to a target fell, a request that suits none of the idle ones was refused with "the limit of connections is reached" for as long as they stayed idle; requests that can't be retried suit no connection that has carried a refusal, so this happens at a target under load (finding of the review).

Cause: the oldest one was closed only if as many were open as allowed, not if more were.

Fix: as many of the oldest are closed as the request needs, if they are enough. TestUnsuitableConnectionsMakeRoomBelowALowerLimit failed before.

--- a/toucanstair/toucantransport/pool.go
+++ b/toucanstair/toucantransport/pool.go
@@ -218,16 +218,19 @@
 		p.open--
 		c.Close()
 	}
-	if maxOpen := p.limit(r.MaxConnections, now); len(skipped) > 0 && p.open == maxOpen {
-		// The connection that was idle for longest makes room for one that suits.
-		oldest := len(skipped) - 1
-		p.open--
-		skipped[oldest].Close()
-		skipped = skipped[:oldest]
+	maxOpen := p.limit(r.MaxConnections, now)
+	if surplus := p.open - maxOpen + 1; maxOpen > 0 && surplus > 0 && surplus <= len(skipped) {
+		// The connections that were idle for longest make room for one that suits.
+		kept := len(skipped) - surplus
+		for _, c := range skipped[kept:] {
+			c.Close()
+		}
+		p.open -= surplus
+		skipped = skipped[:kept]
 	}
 	slices.Reverse(skipped)
 	p.idle = append(p.idle, skipped...)
-	if maxOpen := p.limit(r.MaxConnections, now); maxOpen > 0 && p.open >= maxOpen {
+	if maxOpen > 0 && p.open >= maxOpen {
 		p.mu.Unlock()
 		return nil, ConnectionLimitReached, errConnectionLimit
 	}
--- a/toucanstair/toucantransport/unusable_test.go
+++ b/toucanstair/toucantransport/unusable_test.go
@@ -56,6 +56,17 @@
 	}
 }
 
+// Guards against idle connections that do not suit a request and keep it from a target above a lowered limit.
+func TestUnsuitableConnectionsMakeRoomBelowALowerLimit(t *testing.T) {
+	address := serveGated(t, 3, func(_ int, id string) string { return signed(id, "s"+id, "") })
+	transport := newSignedTransport()
+	openConnections(t, transport, address, http.MethodHead, 3)
+	q := requestTo(address, "2")
+	q.MaxConnections = 2
+	_, err := transport.Do(t.Context(), q, time.Second)
+	require.NoError(t, err)
+}
+
 // Guards against refusals without an id that each wait for the deadline on all kept connections at once.
 func TestRefusalsWithoutIDDoNotWaitForTheDeadline(t *testing.T) {
 	const conns = 8
