Take nothing from the headers of a misdirected response

A 421 comes from another target at the address; its load and cold start counted as those of the target that was meant. A cold start that ended so would send a cold target more than it bears. TestMisdirectedResponseDoesNotChangeTheColdStart failed in both cases before (finding of the review).

--- a/toucanstair/toucanforward/leg.go
+++ b/toucanstair/toucanforward/leg.go
@@ -372,6 +372,11 @@
 		}
 		return
 	}
+	if result.response.Status == http.StatusMisdirectedRequest {
+		// Another target answers at this address.
+		t.Stats.RecordConnectFailure(now)
+		return
+	}
 	if f.Headers.ParseLoad != nil {
 		if n, ok := f.Headers.ParseLoad(result.response.Header.Get(f.Headers.Load)); ok {
 			t.Stats.RecordQueueLength(now, n)
@@ -388,11 +393,6 @@
 	case success, definitive:
 		t.Stats.RecordSuccess(now, took)
 	case notRun:
-		if result.response.Status == http.StatusMisdirectedRequest {
-			// Another target answers at this address.
-			t.Stats.RecordConnectFailure(now)
-			return
-		}
 		t.Stats.RecordRefusal(now)
 	default:
 		t.Stats.RecordFailure(now)
