Tell followers the earliest time at which an entry was removed

Cause: while a service has no listed target, those unlisted last stay candidates for 1.8 s. Each host counted that from the moment at which it learned of the removal, up to 1.75 s late behind such a reader.

A host that has read the store without a failure for 5 s now passes on, with a removal, the earliest time at which the entry can have gone. Other hosts drop the target 2.65 s after that time at the latest. A reader sets that time from the pause before its watch, not from the age of a copy: with a propagation bound of 3 s, hosts that learn in time keep the 1.8 s (with 6 s it may be 0.97 s where the change waited for the end of a pause). After a failure of its calls no time is passed on: entries that expired with the store are kept as before until their targets are listed again.

TestRemovedTargetsExpireInTimeWhileReaderIsCutOff failed in 3 of 3 runs with the hosts ignoring that time ("h5, phase 100ms"). TestTargetsAreKeptWhenTheirEntriesExpireAfterOutage failed with times passed on shortly after an outage.

--- a/toucanstair/toucanbalancer/targetset.go
+++ b/toucanstair/toucanbalancer/targetset.go
@@ -21,6 +21,10 @@
 	// entries of live targets are back about 2 s after it returns. With the delay of a
 	// watch it stays within the 3 s for which a target serves without an entry.
 	unlistedTTLAfterOutage = 2100 * time.Millisecond
+	// removalTTL is how long an unlisted target remains after the earliest possible time of
+	// its removal, where that is known. With the interval between two calls of RemoveExpired
+	// it is shorter than the 3 s.
+	removalTTL = 2650 * time.Millisecond
 )
 
 // TargetInfo is the entry of a target in the list.
@@ -39,10 +43,11 @@
 // Target is a target with this host's observations.
 type Target struct {
 	TargetInfo
-	Stats      Stats
-	coldLimit  *coldLimiter // shared by all entries of a process
-	coldUntil  atomic.Int64 // end of the cold start, Unix nanoseconds
-	unlistedAt time.Time    // zero while listed; not changed after creation
+	Stats        Stats
+	coldLimit    *coldLimiter // shared by all entries of a process
+	coldUntil    atomic.Int64 // end of the cold start, Unix nanoseconds
+	unlistedAt   time.Time    // zero while listed; not changed after creation
+	removedAfter time.Time    // earliest possible time of the removal, zero if not known; not changed after creation
 }
 
 // IsCold reports whether the target is still in cold start.
@@ -121,13 +126,19 @@
 // MarkUnlisted records that the entry of a target was removed. The target remains as
 // a fallback until RemoveExpired.
 func (set *TargetSet) MarkUnlisted(id toucanreplica.ID, now time.Time) {
+	set.MarkRemoved(id, time.Time{}, now)
+}
+
+// MarkRemoved is MarkUnlisted for an entry that was removed after a point in time. It may
+// be zero, if it is not known.
+func (set *TargetSet) MarkRemoved(id toucanreplica.ID, after, now time.Time) {
 	set.mu.Lock()
 	defer set.mu.Unlock()
 	t := set.targets[id]
 	if t == nil || !t.unlistedAt.IsZero() {
 		return
 	}
-	unlisted := &Target{TargetInfo: t.TargetInfo, unlistedAt: now, coldLimit: t.coldLimit}
+	unlisted := &Target{TargetInfo: t.TargetInfo, unlistedAt: now, removedAfter: after, coldLimit: t.coldLimit}
 	unlisted.Stats.copyFrom(&t.Stats)
 	unlisted.coldUntil.Store(t.coldUntil.Load())
 	set.put(unlisted)
@@ -171,8 +182,8 @@
 	}
 }
 
-// RemoveExpired removes and returns the targets that have been unlisted for longer than
-// the limit; afterOutage says that the list was unavailable a short time ago.
+// RemoveExpired removes and returns the targets that have been unlisted, or removed, for
+// longer than the limit; afterOutage says that the list was unavailable a short time ago.
 func (set *TargetSet) RemoveExpired(now time.Time, afterOutage bool) []toucanreplica.ID {
 	ttl := unlistedTTL
 	if afterOutage {
@@ -182,7 +193,11 @@
 	defer set.mu.Unlock()
 	var out []toucanreplica.ID
 	for id, t := range set.targets {
-		if t.unlistedAt.IsZero() || now.Sub(t.unlistedAt) < ttl {
+		if t.unlistedAt.IsZero() {
+			continue
+		}
+		removedLongAgo := !t.removedAfter.IsZero() && now.Sub(t.removedAfter) >= removalTTL
+		if now.Sub(t.unlistedAt) < ttl && !removedLongAgo {
 			continue
 		}
 		set.delete(t)
--- a/toucanstair/toucanbalancer/targetset_test.go
+++ b/toucanstair/toucanbalancer/targetset_test.go
@@ -66,6 +66,23 @@
 	require.Len(t, set.RemoveExpired(now.Add(2150*time.Millisecond), true), 1, "a leaving target serves 3 s, of which a watch may take 0.85 s")
 }
 
+// Guards against requests to a target that left more than 3 s ago, on a host that learned of
+// it late, and against a target that is dropped early because its removal was learned in time.
+func TestRemovedTargetExpiresFromTimeOfRemoval(t *testing.T) {
+	const late = 1700 * time.Millisecond
+	for _, afterOutage := range []bool{false, true} {
+		var set toucanbalancer.TargetSet
+		removed := time.Now()
+		set.Upsert(entry("late", "a"), removed)
+		set.Upsert(entry("prompt", "a"), removed)
+		set.MarkRemoved("late", removed, removed.Add(late))
+		set.MarkRemoved("prompt", removed.Add(late-850*time.Millisecond), removed.Add(late))
+		require.Empty(t, set.RemoveExpired(removed.Add(2600*time.Millisecond), afterOutage))
+		require.Equal(t, []toucanreplica.ID{"late"}, set.RemoveExpired(removed.Add(2700*time.Millisecond), afterOutage))
+		require.Empty(t, set.RemoveExpired(removed.Add(late+1790*time.Millisecond), afterOutage))
+	}
+}
+
 // Guards against observations of a target that are kept after it restarted.
 func TestNewIncarnationStartsWithoutObservations(t *testing.T) {
 	var set toucanbalancer.TargetSet
--- a/toucanstair/toucanfeed/client.go
+++ b/toucanstair/toucanfeed/client.go
@@ -76,7 +76,11 @@
 		}
 		b := toucanmirror.Batch{Full: r.GetWhole(), Revision: r.GetRevision()}
 		for _, it := range r.GetRecords() {
-			b.Items = append(b.Items, toucanmirror.Item{Key: it.GetKey(), Value: it.GetValue(), Revision: it.GetRevision(), Deleted: it.GetGone()})
+			item := toucanmirror.Item{Key: it.GetKey(), Value: it.GetValue(), Revision: it.GetRevision(), Deleted: it.GetGone()}
+			if since := it.GetSince(); since > 0 {
+				item.DeletedAfter = time.Now().Add(-time.Duration(since))
+			}
+			b.Items = append(b.Items, item)
 		}
 		receiver.ApplyBatch(b, time.Now().Add(-age-maxTransferTime))
 		for _, d := range r.GetDepartures() {
--- a/toucanstair/toucanfeed/feed_test.go
+++ b/toucanstair/toucanfeed/feed_test.go
@@ -116,6 +116,30 @@
 	require.Empty(t, received, "each departure is sent once")
 }
 
+// Guards against a removal that seems as recent as the message to a late follower, and against
+// a time of removal where none is known.
+func TestFollowReceivesTimesOfRemovals(t *testing.T) {
+	var m toucanmirror.Mirror
+	m.Apply(toucanmirror.Batch{Items: []toucanmirror.Item{{Key: "a", Revision: 5}, {Key: "b", Revision: 5}}, Full: true, Revision: 5}, time.Now())
+	after := time.Now().Add(-time.Second)
+	m.Apply(toucanmirror.Batch{Items: []toucanmirror.Item{{Key: "a", Revision: 6, Deleted: true, DeletedAfter: after}, {Key: "b", Revision: 7, Deleted: true}}, Revision: 7}, time.Now())
+	address := serve(t, &m)
+	ctx, cancel := context.WithCancel(t.Context())
+	received := make(chan toucanmirror.Batch, 10)
+	end := make(chan error, 1)
+	go func() {
+		end <- toucanfeed.Client{}.Follow(ctx, address, 5, limits, receiver{batch: func(b toucanmirror.Batch, _ time.Time) { received <- b }})
+	}()
+	items := map[string]toucanmirror.Item{}
+	for _, it := range (<-received).Items {
+		items[it.Key] = it
+	}
+	require.WithinDuration(t, after, items["a"].DeletedAfter, 500*time.Millisecond)
+	require.Zero(t, items["b"].DeletedAfter)
+	cancel()
+	require.Error(t, <-end)
+}
+
 // Guards against a host that follows another one which can no longer read the
 // store.
 func TestFollowFailsOnStaleFeed(t *testing.T) {
--- a/toucanstair/toucanfeed/server.go
+++ b/toucanstair/toucanfeed/server.go
@@ -87,7 +87,11 @@
 func reply(b toucanmirror.Batch, age time.Duration) *toucanpb.FollowReply {
 	out := &toucanpb.FollowReply{Whole: b.Full, Revision: b.Revision, Age: int64(age)}
 	for _, it := range b.Items {
-		out.Records = append(out.Records, &toucanpb.Record{Key: it.Key, Value: it.Value, Revision: it.Revision, Gone: it.Deleted})
+		record := &toucanpb.Record{Key: it.Key, Value: it.Value, Revision: it.Revision, Gone: it.Deleted}
+		if !it.DeletedAfter.IsZero() {
+			record.Since = max(1, int64(time.Since(it.DeletedAfter)))
+		}
+		out.Records = append(out.Records, record)
 	}
 	return out
 }
--- a/toucanstair/toucanfollower/apply.go
+++ b/toucanstair/toucanfollower/apply.go
@@ -135,7 +135,7 @@
 				zap.Bool("draining", c.Target.Draining), zap.Uint64("revision", it.Revision))
 		}
 	case c.RemovedTarget != "":
-		f.Targets.MarkUnlisted(c.RemovedTarget, now)
+		f.Targets.MarkRemoved(c.RemovedTarget, it.DeletedAfter, now)
 		f.Log.Info("entry of target gone", zap.String("target", string(c.RemovedTarget)), zap.Uint64("revision", it.Revision))
 	case c.Zone != "":
 		if c.OutOfService {
--- a/toucanstair/toucanfollower/backup.go
+++ b/toucanstair/toucanfollower/backup.go
@@ -52,7 +52,7 @@
 // backupAge is the age of a copy from which on a host that reads the store follows backups,
 // and the largest age of a backup.
 func (f *Follower) backupAge() time.Duration {
-	return max(f.watchHold(), time.Duration(pauseShare*float64(f.MaxPropagation))) + backupSlack
+	return max(f.watchHold(), f.watchPause()) + backupSlack
 }
 
 // primaryAge returns the time since the store confirmed what the primary source last sent.
--- a/toucanstair/toucanfollower/fleet_test.go
+++ b/toucanstair/toucanfollower/fleet_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -59,6 +60,7 @@
 type simulatedNode struct {
 	*toucanfollower.Follower
 	fleet *simulatedFleet
+	calls atomic.Int64 // of the store
 }
 
 func (n *simulatedNode) mode() storeMode {
@@ -73,6 +75,7 @@
 // call makes a call to the store as its mode allows.
 func (n *simulatedNode) call(ctx context.Context, f func()) error {
 	const storeLatency = 4 * time.Millisecond
+	n.calls.Add(1)
 	<-time.After(storeLatency)
 	if n.mode() == storeServes {
 		f()
@@ -170,6 +173,11 @@
 // startFleet starts hosts in six zones, three of them with more CPU in each zone, and
 // waits until all have read the store.
 func startFleet(t *testing.T, hosts int) *simulatedFleet {
+	return startFleetWithin(t, hosts, fleetPropagation)
+}
+
+// startFleetWithin is startFleet with another bound on the propagation of changes.
+func startFleetWithin(t *testing.T, hosts int, propagation time.Duration) *simulatedFleet {
 	f := &simulatedFleet{
 		store: newFakeStore(), nodes: map[string]*simulatedNode{},
 		modes: map[toucanhost.ID]storeMode{}, frozen: map[toucanhost.ID]bool{}, isolated: map[toucanhost.ID]bool{},
@@ -184,7 +192,7 @@
 		}
 		n := &simulatedNode{fleet: f}
 		n.Follower = &toucanfollower.Follower{
-			Store: n, Feeds: n, Decode: decodeFleet, MaxPropagation: fleetPropagation,
+			Store: n, Feeds: n, Decode: decodeFleet, MaxPropagation: propagation,
 			ZoneRegions: toucanrules.ZoneRegions{"z0": "x", "z1": "x", "z2": "y", "z3": "y", "z4": "w", "z5": "w"},
 			Self:        toucansource.Peer{ID: toucanhost.ID(fmt.Sprint("h", i)), Zone: toucanzone.Name(fmt.Sprint("z", i%6)), Address: fmt.Sprint("a", i), CPUMillis: cpu},
 			Mirror:      &toucanmirror.Mirror{}, Targets: &toucanbalancer.TargetSet{}, Rollouts: &toucanrollout.Manager{}, Log: zap.NewNop(),
@@ -209,6 +217,25 @@
 	return f
 }
 
+// readers returns the hosts that read the store.
+func (f *simulatedFleet) readers() []*simulatedNode {
+	before := map[*simulatedNode]int64{}
+	for _, n := range f.order {
+		before[n] = n.calls.Load()
+	}
+	<-time.After(2 * maxPropagation)
+	return slices.DeleteFunc(slices.Clone(f.order), func(n *simulatedNode) bool { return n.calls.Load() == before[n] })
+}
+
+// setMode sets how the store treats the calls of hosts.
+func (f *simulatedFleet) setMode(m storeMode, hosts ...*simulatedNode) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, n := range hosts {
+		f.modes[n.Self.ID] = m
+	}
+}
+
 // lags publishes versions of the rules during a time and returns, for each host that
 // counts, how late it had each of them.
 func (f *simulatedFleet) lags(during time.Duration, random *rand.Rand, counts func(*simulatedNode) bool) []time.Duration {
@@ -325,3 +352,81 @@
 		}
 	}
 }
+
+// Guards against requests to targets that left more than 3 s ago, sent by hosts whose zone's
+// reader is cut off from the store.
+func TestRemovedTargetsExpireInTimeWhileReaderIsCutOff(t *testing.T) {
+	const servesFor = 3 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleetWithin(t, 23, maxPropagation)
+		for phase := time.Duration(0); phase <= 1300*time.Millisecond; phase += 100 * time.Millisecond {
+			f.store.put("t/1", "ready")
+			<-time.After(8 * time.Second)
+			readers := f.readers()
+			require.NotEmpty(t, readers)
+			f.store.put("t/other", fmt.Sprint("draining ", phase))
+			<-time.After(phase)
+			f.setMode(storeSilent, readers[0])
+			<-time.After(100 * time.Millisecond)
+			f.store.remove("t/1")
+			<-time.After(servesFor)
+			for _, n := range f.order {
+				if n != readers[0] {
+					require.Empty(t, n.Targets.Candidates("s"), "%s, phase %v", n.Self.ID, phase)
+				}
+			}
+			<-time.After(2500 * time.Millisecond)
+			f.setMode(storeServes, readers[0])
+		}
+	})
+}
+
+// Guards against requests refused after a short outage of the store, in which the entries of
+// all targets expired.
+func TestTargetsAreKeptUntilTheyAreListedAgainAfterOutage(t *testing.T) {
+	for _, mode := range []storeMode{storeRefuses, storeSilent} {
+		synctest.Test(t, func(t *testing.T) {
+			f := startFleetWithin(t, 23, maxPropagation)
+			for outage := 200 * time.Millisecond; outage <= 3*time.Second; outage += 200 * time.Millisecond {
+				f.store.put("t/1", "ready")
+				<-time.After(8 * time.Second)
+				f.setMode(mode, f.order...)
+				<-time.After(outage / 2)
+				f.store.remove("t/1")
+				<-time.After(outage / 2)
+				f.setMode(storeServes, f.order...)
+				for back := time.Now().Add(1500 * time.Millisecond); time.Now().Before(back); <-time.After(10 * time.Millisecond) {
+					for _, n := range f.order {
+						require.NotEmpty(t, n.Targets.Candidates("s"), "%s, outage %v, mode %d", n.Self.ID, outage, mode)
+					}
+				}
+			}
+		})
+	}
+}
+
+// Guards against requests refused because entries that expired shortly after an outage of the
+// store count as removed earlier than the hosts learned of it.
+func TestTargetsAreKeptWhenTheirEntriesExpireAfterOutage(t *testing.T) {
+	const absence = 1750 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleetWithin(t, 23, maxPropagation)
+		for delay := 1500 * time.Millisecond; delay <= 2500*time.Millisecond; delay += 100 * time.Millisecond {
+			f.store.put("t/1", "ready")
+			<-time.After(8 * time.Second)
+			f.setMode(storeRefuses, f.order...)
+			<-time.After(2 * time.Second)
+			f.setMode(storeServes, f.order...)
+			<-time.After(delay)
+			before := f.order[0].Mirror.Revision()
+			f.store.remove("t/1")
+			<-time.After(absence)
+			for _, n := range f.order {
+				require.NotEmpty(t, n.Targets.Candidates("s"), "%s, delay %v", n.Self.ID, delay)
+				changes, _ := n.Mirror.Since(before)
+				require.Len(t, changes.Items, 1)
+				require.Zero(t, changes.Items[0].DeletedAfter, "%s, delay %v", n.Self.ID, delay)
+			}
+		}
+	})
+}
--- a/toucanstair/toucanfollower/follower.go
+++ b/toucanstair/toucanfollower/follower.go
@@ -319,6 +319,11 @@
 	return time.Duration(share * float64(f.MaxPropagation))
 }
 
+// watchPause returns the pause between two watches.
+func (f *Follower) watchPause() time.Duration {
+	return time.Duration(pauseShare * float64(f.MaxPropagation))
+}
+
 func (f *Follower) feeds() feeds {
 	if f.Feeds == nil {
 		return toucanfeed.Client{}
--- a/toucanstair/toucanfollower/storereader.go
+++ b/toucanstair/toucanfollower/storereader.go
@@ -20,6 +20,10 @@
 	listedStale bool // the latest list call allowed stale items; the next one does not
 	backlog     bool // the store may have more changes than it returned last
 	nextCall    time.Time
+	confirmed   time.Time // when the store last returned all changes; zero after a failure
+	// steadySince is when the calls without a failure began. Shortly after a failure the
+	// times of deletions stay unknown, since entries that expired with it come back.
+	steadySince time.Time
 	// pauseDivisor divides the pause between two watches; 0 means 1.
 	pauseDivisor int
 }
@@ -51,6 +55,8 @@
 func (f *Follower) readOnce(ctx context.Context, r *storeReader) error {
 	calls.Inc()
 	began := time.Now()
+	previous := r.confirmed
+	r.confirmed = time.Time{}
 	after := f.Mirror.Revision()
 	if after == 0 {
 		return f.list(ctx, r)
@@ -72,17 +78,50 @@
 		return err
 	}
 	confirmed := time.Now()
+	if confirmed.Sub(previous) > f.backupAge() {
+		previous = time.Time{}
+	}
+	if previous.IsZero() {
+		r.steadySince = confirmed
+	}
+	if confirmed.Sub(r.steadySince) >= uncertainPeriod {
+		setDeletedAfter(items, f.earliestChange(previous, began, confirmed))
+	}
 	if r.backlog = isCutOff(items); r.backlog {
 		// The copy is as old as before until the rest is read.
 		confirmed = confirmed.Add(-f.Mirror.Age(confirmed))
+		r.confirmed = previous
+	} else {
+		r.confirmed = confirmed
 	}
 	f.apply(toucanmirror.Batch{Items: items, Revision: revision}, confirmed)
 	if !r.backlog && len(items) > 0 {
-		r.nextCall = began.Add(time.Duration(pauseShare*float64(f.MaxPropagation)) / time.Duration(max(1, r.pauseDivisor)))
+		r.nextCall = began.Add(f.watchPause() / time.Duration(max(1, r.pauseDivisor)))
 	}
 	return nil
 }
 
+// earliestChange returns the earliest time of a change that a watch returned and the
+// confirmation before it did not show. A watch that the store held returns at the change;
+// otherwise the change may have waited for the end of the pause.
+func (f *Follower) earliestChange(previous, began, returned time.Time) time.Time {
+	if returned.Sub(began) > backupSlack {
+		return returned.Add(-backupSlack)
+	}
+	if paused := returned.Add(-f.watchPause()); paused.After(previous) {
+		return paused
+	}
+	return previous
+}
+
+func setDeletedAfter(items []toucanmirror.Item, earliest time.Time) {
+	for i := range items {
+		if items[i].Deleted {
+			items[i].DeletedAfter = earliest
+		}
+	}
+}
+
 // isCutOff reports whether the store may have more changes than it returned.
 func isCutOff(items []toucanmirror.Item) bool {
 	return len(items) >= minCutOffItems || valueBytes(items) >= minCutOffBytes
--- a/toucanstair/toucanmirror/mirror.go
+++ b/toucanstair/toucanmirror/mirror.go
@@ -24,6 +24,8 @@
 	Revision uint64
 	Value    []byte
 	Deleted  bool // deleted at Revision
+	// DeletedAfter is the earliest possible time of the deletion, or zero if it is not known.
+	DeletedAfter time.Time
 }
 
 // Batch is a set of changes, or all items, as of a revision.
@@ -63,6 +65,7 @@
 type removal struct {
 	revision uint64
 	at       time.Time
+	after    time.Time // DeletedAfter of the item
 }
 
 // Apply applies a batch that the store confirmed at a point in time, and
@@ -77,7 +80,7 @@
 		switch old, exists := m.items[it.Key]; {
 		case it.Revision <= m.newestRevision(it.Key):
 		case it.Deleted:
-			m.remove(it.Key, it.Revision, confirmed)
+			m.remove(it.Key, removal{it.Revision, confirmed, it.DeletedAfter})
 			if exists {
 				significant = append(significant, it)
 			}
@@ -96,7 +99,7 @@
 			if listed[key] || it.Revision > b.Revision {
 				continue
 			}
-			m.remove(key, b.Revision, confirmed)
+			m.remove(key, removal{revision: b.Revision, at: confirmed})
 			significant = append(significant, Item{Key: key, Revision: b.Revision, Deleted: true})
 		}
 	}
@@ -148,7 +151,7 @@
 	if !b.Full {
 		for key, r := range m.removed {
 			if r.revision > after {
-				b.Items = append(b.Items, Item{Key: key, Revision: r.revision, Deleted: true})
+				b.Items = append(b.Items, Item{Key: key, Revision: r.revision, Deleted: true, DeletedAfter: r.after})
 			}
 		}
 	}
@@ -186,9 +189,9 @@
 	return max(m.items[key].Revision, m.removed[key].revision)
 }
 
-func (m *Mirror) remove(key string, revision uint64, now time.Time) {
+func (m *Mirror) remove(key string, r removal) {
 	delete(m.items, key)
-	m.removed[key] = removal{revision, now}
+	m.removed[key] = r
 }
 
 func (m *Mirror) forgetRemovals(now time.Time) {
