Run no request that was refused with 408

Callers got 408 for a request whose header arrived as its time ran out, and the request ran all the same: 408 promises that it has not run and never will. A caller whose malformed header net/http refused with 431 could get a 408 behind that answer.

Cause: handleTimeout wrote the 408 and closed the connection while the server had already read the whole header, and the handler was called regardless. net/http waits after its 431 with the connection still in phaseReadingHeader. A timer of the idle phase that fired as the first byte of a header arrived counted as the header's.

The timer of the former phase was found by reading and has no test.

The timeout and the start of the handler now both need the connection's mutex, and the first one fixes the phase: after a timeout the handler is not started and the connection ends, after the start the timer does nothing. The server's own answer to a header ends phaseReadingHeader too. Each phase has its own start, by which a timer is judged.

--- a/toucanstair/toucanguard/guard.go
+++ b/toucanstair/toucanguard/guard.go
@@ -51,7 +51,7 @@
 	mu         sync.Mutex
 	timer      *time.Timer
 	phase      connPhase
-	phaseStart time.Time // not set for phaseReadingHeader, whose timer is never extended
+	phaseStart time.Time
 }
 
 type connPhase int
@@ -60,6 +60,8 @@
 	phaseIdle          connPhase = iota // between requests
 	phaseReadingHeader                  // the header of a request has started to arrive
 	phaseServing                        // a handler runs, or the connection has ended
+	phaseRejecting                      // the server itself answers a malformed header
+	phaseTimedOut                       // closed by the guard; no request on it runs any more
 )
 
 type guardedListener struct {
@@ -115,7 +117,7 @@
 	if n > 0 {
 		c.mu.Lock()
 		if c.phase == phaseIdle {
-			c.phase = phaseReadingHeader
+			c.phase, c.phaseStart = phaseReadingHeader, time.Now()
 			c.timer.Reset(c.guard.headerTimeout())
 		}
 		c.mu.Unlock()
@@ -123,12 +125,23 @@
 	return n, err
 }
 
+// Write writes to the connection. A write before the handler runs is the server's own
+// answer to a header that it can't parse, after which no 408 may follow.
+func (c *guardedConn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	if c.phase == phaseReadingHeader {
+		c.phase = phaseRejecting
+	}
+	c.mu.Unlock()
+	return c.Conn.Write(b)
+}
+
 // Handler passes on requests whose header is within the size limit and refuses
 // the others with status 431 before they run.
 func (g *Guard) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(connKey{}).(*guardedConn); ok {
-			c.setPhase(phaseServing, 0)
+		if c, ok := r.Context().Value(connKey{}).(*guardedConn); ok && !c.setPhase(phaseServing, 0) {
+			panic(http.ErrAbortHandler) // the caller may have got 408
 		}
 		if size, limit := headerSize(r), g.Limits().MaxHeaderBytes; limit > 0 && size > limit {
 			largeHeadersRefused.Inc()
@@ -170,16 +183,32 @@
 	return defaultIdleTimeout
 }
 
-// setPhase starts a phase that lasts at most d; 0 means no limit.
-func (c *guardedConn) setPhase(p connPhase, d time.Duration) {
+// setPhase starts a phase that lasts at most d; 0 means no limit. It returns false if
+// the connection has timed out.
+func (c *guardedConn) setPhase(p connPhase, d time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.phase == phaseTimedOut {
+		return false
+	}
 	c.phase, c.phaseStart = p, time.Now()
 	if d == 0 {
 		c.timer.Stop()
-		return
+	} else {
+		c.timer.Reset(d)
 	}
-	c.timer.Reset(d)
+	return true
+}
+
+// extend restarts the timer if the phase has not lasted for limit: it began as the
+// timer fired, or the operators have raised the limit.
+func (c *guardedConn) extend(limit time.Duration) bool {
+	remaining := limit - time.Since(c.phaseStart)
+	if remaining <= 0 {
+		return false
+	}
+	c.timer.Reset(remaining)
+	return true
 }
 
 // handleTimeout closes a connection whose phase has lasted too long, unless the
@@ -189,19 +218,22 @@
 	defer c.mu.Unlock()
 	switch c.phase {
 	case phaseIdle:
-		// The operators may have raised the limit since the timer was set.
-		if remaining := c.guard.idleTimeout() - time.Since(c.phaseStart); remaining > 0 {
-			c.timer.Reset(remaining)
+		if c.extend(c.guard.idleTimeout()) {
 			return
 		}
 		idleConnsClosed.Inc()
 	case phaseReadingHeader:
+		if c.extend(c.guard.headerTimeout()) {
+			return
+		}
 		slowHeadersRefused.Inc()
 		c.guard.Log.Info("head of a request too slow", zap.String("caller", c.RemoteAddr().String()))
 		_ = c.SetWriteDeadline(time.Now().Add(refusalWriteTimeout)) // the connection is closed either way
-		_, _ = c.Write([]byte(timeoutResponse))
-	case phaseServing:
+		_, _ = c.Conn.Write([]byte(timeoutResponse))
+	case phaseRejecting:
+	case phaseServing, phaseTimedOut:
 		return
 	}
+	c.phase = phaseTimedOut
 	_ = c.Close() // the server sees the closed connection
 }
