Answer callers that stop within their body

A caller that sent only a part of its body waited for ever for its 400 or 404, and its connection had no limit. Callers that were still sending a long body had their connection reset, which may destroy the answer. A caller that got 431 and never sent the rest of its body kept its connection.

Cause: net/http reads the rest of the body before it sends a response, or after it if the connection is to be closed. The read deadline was cleared by then, or never set. It closes a connection with unread data after 500 ms, or at once where the body is malformed.

The response is now sent at once, with a Content-Length, so that it is complete. The handler then reads the rest of the body for at most lingerTimeout. The connection is kept only if the body has come to its end; otherwise it is taken from net/http, which would take what follows for a request, and closed within the same time. After a body that could not be read, the response says that the connection closes. The guard sets a read deadline with its 431.

--- a/toucanstair/toucanforward/body.go
+++ b/toucanstair/toucanforward/body.go
@@ -12,6 +12,8 @@
 const (
 	// bodyReadTimeout limits the reading of a request body.
 	bodyReadTimeout = 5 * time.Second
+	// lingerTimeout limits how long the rest of a body may arrive after the response.
+	lingerTimeout = 2 * time.Second
 	// maxBodyBytes bounds a request body, also where the operators set a higher limit or
 	// none.
 	maxBodyBytes = 8 << 20
@@ -75,3 +77,27 @@
 	}
 	return body, 0, nil
 }
+
+// drainBody sends the response to a request whose body was not read to its end, and then
+// reads the rest, so that the connection can be kept. If the rest does not come within
+// lingerTimeout, drainBody closes the connection. The response needs a Content-Length.
+func drainBody(w http.ResponseWriter, request *http.Request) {
+	controller := http.NewResponseController(w)
+	_ = controller.Flush() // a failure ends the reads below as well
+	end := time.Now().Add(lingerTimeout)
+	_ = controller.SetReadDeadline(end)
+	if _, err := io.Copy(io.Discard, request.Body); err == nil {
+		_ = controller.SetReadDeadline(time.Time{})
+		return
+	}
+	// net/http would take what follows for the next request.
+	conn, _, err := controller.Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	// Closing a connection with unread data resets it, and the caller may lose the response.
+	if conn.SetReadDeadline(end) == nil {
+		_, _ = io.Copy(io.Discard, conn)
+	}
+	_ = conn.Close()
+}
--- a/toucanstair/toucanforward/forwarder.go
+++ b/toucanstair/toucanforward/forwarder.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -106,6 +107,17 @@
 // ServeHTTP serves one request of a caller. When the host itself responds with
 // 503 and Retry-After, the request has not run.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	// Otherwise net/http reads the rest of a body before it sends the response. Only
+	// writers in tests don't support it.
+	_ = http.NewResponseController(w).EnableFullDuplex()
+	if !f.serve(w, r) && r.Body != nil && r.Body != http.NoBody {
+		drainBody(w, r)
+	}
+}
+
+// serve writes the response to a request. It returns false if it may not have read the
+// body to its end.
+func (f *Forwarder) serve(w http.ResponseWriter, r *http.Request) bool {
 	start := time.Now()
 	if f.Draining != nil && f.Draining() {
 		w.Header().Set("Connection", "close")
@@ -117,14 +129,14 @@
 	rules := f.Config.Rules()
 	if rules == nil {
 		f.refuse(w, log, retryAfterNoConfig, "no configuration is in effect yet")
-		return
+		return false
 	}
 	log.rulesVersion = rules.Version
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	route := rules.MatchRoute(r.Host, path)
 	if route == nil {
 		f.fail(w, log, http.StatusNotFound, "no route matches the host name and path")
-		return
+		return false
 	}
 	log.route = route.Name
 	ctx, span := startServerSpan(r.Context(), propagation.HeaderCarrier(r.Header), "request")
@@ -132,17 +144,17 @@
 	r = r.WithContext(ctx)
 	if log.id == "" {
 		f.fail(w, log, http.StatusBadRequest, "the request has no id")
-		return
+		return false
 	}
 	if inFlight > maxInFlight {
 		refusedFull.Inc()
 		f.refuse(w, log, retryAfterOverload, "the host has too many requests in flight")
-		return
+		return false
 	}
 	deadline, err := f.requestDeadline(r, route, start)
 	if err != nil {
 		f.fail(w, log, http.StatusBadRequest, err.Error())
-		return
+		return false
 	}
 	memory := &reservingReader{quota: f.Memory}
 	defer memory.release()
@@ -151,10 +163,11 @@
 	case errors.Is(err, errNoMemory):
 		refusedFull.Inc()
 		f.refuse(w, log, retryAfterOverload, err.Error())
-		return
+		return false
 	case err != nil:
+		w.Header().Set("Connection", "close")
 		f.fail(w, log, status, err.Error())
-		return
+		return false
 	}
 	message := toucantransport.NewMessage(log.id, r.Method, r.RequestURI, r.Host, f.forwardableHeader(r.Header), body)
 	d := f.newDispatch(message, route, log, deadline)
@@ -168,6 +181,7 @@
 		// its sending side reads.
 		panic(http.ErrAbortHandler)
 	}
+	return true
 }
 
 // requestDeadline returns when a request ends: at the route's timeout or at the
@@ -209,7 +223,12 @@
 	if log.id != "" {
 		w.Header().Set(f.Headers.RequestID, log.id)
 	}
-	http.Error(w, reason, status)
+	reason += "\n"
+	w.Header().Set("Content-Length", strconv.Itoa(len(reason)))
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.Header().Set("X-Content-Type-Options", "nosniff")
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, reason) // the caller may be gone
 }
 
 // targetShare returns this host's share of the limits of a route's targets.
--- a/toucanstair/toucanguard/guard.go
+++ b/toucanstair/toucanguard/guard.go
@@ -28,6 +28,9 @@
 // refusalWriteTimeout limits writing the 408 response to a caller that is too slow.
 const refusalWriteTimeout = 100 * time.Millisecond
 
+// refusalReadTimeout limits reading the body of a request that is refused with status 431.
+const refusalReadTimeout = 2 * time.Second
+
 const timeoutResponse = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
 var (
@@ -147,6 +150,7 @@
 			largeHeadersRefused.Inc()
 			g.Log.Info("head of a request too large", zap.String("caller", r.RemoteAddr), zap.Int("bytes", size), zap.Int("limit", limit))
 			w.Header().Set("Connection", "close")
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(refusalReadTimeout)) // only writers in tests don't support it
 			http.Error(w, "the head of the request is too large", http.StatusRequestHeaderFieldsTooLarge)
 			return
 		}
--- a/toucanstair/toucanguard/guard_test.go
+++ b/toucanstair/toucanguard/guard_test.go
@@ -156,3 +156,19 @@
 		}
 	})
 }
+
+// Guards against connections without any limit, whose caller got 431 and never sends the rest of its body.
+func TestLargeHeaderWithStalledBodyIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := serve(t)()
+		in := bufio.NewReader(c)
+		start := time.Now()
+		text := "POST / HTTP/1.1\r\nHost: a.example\r\nFiller: " + strings.Repeat("x", limits.MaxHeaderBytes) + "\r\nContent-Length: 100\r\n\r\nabc"
+		require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, roundTrip(t, c, in, text))
+		require.Zero(t, time.Since(start))
+		require.NoError(t, c.SetReadDeadline(time.Now().Add(limits.IdleTimeout)))
+		_, err := in.ReadByte()
+		require.ErrorIs(t, err, io.EOF)
+		require.NoError(t, c.Close())
+	})
+}
