Give each call of the storage client its own connection

On the client: a lease that has ended counts as renewed, a refused conditional write as done, the value of another key is read, a grant returns the lease of another one, a list returns the changes of a watch.

Cause: connections were kept, and the store's replies carry no id.

Fix: a connection carries one call (DisableKeepAlives), so a second reply has no later call to answer. Nothing else proves which call a reply answers: the protocol has no field that the store echoes; the key in a value does not exist for renewals, grants and writes; a quiet time before the next call only makes the fault rarer. A reply that came before the first byte of the call was sent ends the connection as well (toucandialer); the outcome is unknown then, since the request had a connection. What is left: a proxy that itself reuses connections to the store, and bytes sent ahead of the request that are read only once its first byte went out.

Watches have had a connection of their own while they wait. net/http's retries on stale kept connections no longer occur.

--- a/core/toucanstorage/call.go
+++ b/core/toucanstorage/call.go
@@ -14,6 +14,7 @@
 
 	"go.uber.org/zap"
 
+	"toucanstair.example/core/toucandialer"
 	"toucanstair.example/core/toucanfault"
 	"toucanstair.example/core/toucanpb"
 )
@@ -42,16 +43,16 @@
 }
 
 func newHTTP(source *net.TCPAddr) *http.Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dialer := &toucandialer.Dialer{Dialer: net.Dialer{Timeout: dialTimeout}}
 	if source != nil {
 		dialer.LocalAddr = source
 	}
 	return &http.Client{
+		// Replies carry no id, so only a connection of its own ties one to its call.
 		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			MaxIdleConnsPerHost: 16,
-			IdleConnTimeout:     90 * time.Second,
-			DisableCompression:  true,
+			DialContext:        dialer.DialContext,
+			DisableCompression: true,
+			DisableKeepAlives:  true,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
