Test kept connections of the dispatcher with a target that returns leg ids

TestConnectionsAreClosedWithTheLastSlot and TestConnectionOutlivesChangeOfSlots expect that the connection to a target is kept after a leg. Their fake target leaves out Toucan-Leg. The target of these two tests now returns the id, as docs/design.md asks of targets; what they expect is the same, and no other test gets the changed target.

--- a/toucanstair/toucandispatch/dispatcher_test.go
+++ b/toucanstair/toucandispatch/dispatcher_test.go
@@ -71,6 +71,7 @@
 	executed    atomic.Int64
 	connections atomic.Int64 // open ones
 	accepted    atomic.Int64 // connections in all
+	returnsID   bool         // responses have the id of their leg in Toucan-Leg
 	respond     func(w http.ResponseWriter, r *http.Request) bool
 }
 
@@ -78,6 +79,9 @@
 	raw, _ := io.ReadAll(r.Body)
 	var q toucanpb.TargetQuery
 	_ = json.Unmarshal(raw, &q)
+	if t.returnsID {
+		w.Header().Set("Toucan-Leg", q.GetLeg())
+	}
 	if t.respond != nil && t.respond(w, r) {
 		return
 	}
@@ -241,6 +245,7 @@
 // next owner's connection there are two to a replica in cold start.
 func TestConnectionsAreClosedWithTheLastSlot(t *testing.T) {
 	f := newFixture(t, 1, 1, nil)
+	f.targets[0].returnsID = true
 	require.Equal(t, toucanpb.Outcome_OUTCOME_DONE, f.Run(t.Context(), newLeg(0)).GetOutcome())
 	open := func() int { return int(f.targets[0].connections.Load()) }
 	require.Equal(t, 1, open())
@@ -255,6 +260,7 @@
 // slots that this host owns has changed.
 func TestConnectionOutlivesChangeOfSlots(t *testing.T) {
 	f := newFixture(t, 1, 1, nil)
+	f.targets[0].returnsID = true
 	rules := f.zone.catalog.Rules()
 	rules.Services[0].Slots = 2
 	f.zone.catalog = toucancatalog.New(rules)
