Take a response of a target without an id only as the first one of a connection

What callers saw: a leg that runs is reported as not run, where its target leaves out Toucan-Leg and a late second refusal comes when the answer to the leg is due; failures, conflicts and state, versions and load of other legs; health responses that were another request's.

Cause: net/http gives a connection to the next leg before this package sees the header of a response without a body, and a response without an id was taken for the one that is due on any connection. A response to a health request could not have an id.

Fix: targetPool keeps the connections itself (http.ClientConn), so a connection is used again only after its response was seen to have the id of its request. Without an id, a refusal or failure counts only on a connection that has carried no other request, and that connection closes. Otherwise it ends the leg as unknown (invalid), and its header fields are dropped; a success counts by the leg id in its JSON. The pool remembers that a target leaves the id out and gives each leg a connection of its own; one that waits gets a connection only when it is released, so no leg can be on an unproven one. Health requests have an id in Toucan-Leg that a target may repeat (toucantarget does); if it doesn't, each has a connection of its own, in place of an idle one.

The slots of a pool bound the connections: a slot is held until the connection is idle or the target has closed its side, also where net/http closes an idle connection or one is replaced. A dial whose caller has gone ends as an idle connection.

--- a/toucanstair/toucanexchange/client.go
+++ b/toucanstair/toucanexchange/client.go
@@ -6,9 +6,7 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -33,24 +31,20 @@
 	maxBodyBytes = 4 << 20
 	// maxHeaderBytes bounds the header of a response and the body of a health response.
 	maxHeaderBytes = 64 << 10
-	dialTimeout    = time.Second
 )
 
-var legsSent = metrics.NewCounter("toucan_legs_sent_total")
+var (
+	legsSent = metrics.NewCounter("toucan_legs_sent_total")
+	// unattributedResponses counts responses that may belong to another request.
+	unattributedResponses = metrics.NewCounter("toucan_responses_unattributed_total")
+)
 
 // Client sends legs to targets over pooled connections. The zero value is ready to
 // use. It is safe for concurrent use.
 type Client struct {
-	legs  atomic.Uint64 // legs sent, for their ids
-	mu    sync.RWMutex
-	pools map[string]*targetPool
-}
-
-// targetPool holds the connections to one target.
-type targetPool struct {
-	maxConnections int
-	transport      *http.Transport
-	dialSemaphore  chan struct{} // capacity 1: one dial at a time
+	requests atomic.Uint64 // legs and health requests, for their ids
+	mu       sync.RWMutex
+	pools    map[string]*targetPool
 }
 
 // Request describes one leg to send to a target.
@@ -62,7 +56,7 @@
 }
 
 // Response is the response of a target. The fields taken from headers (BootID, State,
-// IndexVersions and Load) are also set for a failed request if a response was received.
+// IndexVersions and Load) are also set for a failed request if its response was received.
 type Response struct {
 	Items         []*toucanpb.Item
 	BootID        string        // changes when the target restarts; "" if not reported
@@ -75,9 +69,12 @@
 }
 
 // Do sends one leg to a target and waits for its response, at most MaxLegDuration. If
-// there is no complete response, Do then also waits for the target to close the
-// connection, at most closeTimeout. Errors are of type *toucanfault.Error. Their outcome
-// is notrun only if no byte of the request was sent or the target refused it.
+// the connection is not used again, Do then also waits for the target to close it, at
+// most closeTimeout. Errors are of type *toucanfault.Error. Their outcome is notrun only
+// if no byte of the request was sent or the target refused it.
+//
+// A refusal or failure without the leg's id counts only if its connection carried no
+// earlier request. Otherwise it may belong to that request, so the outcome is unknown.
 func (c *Client) Do(ctx context.Context, r Request) (Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, MaxLegDuration)
 	defer cancel()
@@ -103,7 +100,7 @@
 
 func (c *Client) send(ctx context.Context, r Request) (Response, error) {
 	leg := r.Leg
-	id := legID(leg, c.legs.Add(1))
+	id := legID(leg, c.requests.Add(1))
 	body, err := encodeQuery(leg, id)
 	if err != nil {
 		return Response{}, toucanfault.NotRun(toucanpb.Code_CODE_INVALID, "query cannot be encoded as JSON").Because(err)
@@ -112,17 +109,7 @@
 	if leg.GetOnce() {
 		path = "/run"
 	}
-	var usedConn *conn
-	newConnection := false
-	tracedCtx := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(i httptrace.GotConnInfo) {
-			if c, ok := i.Conn.(*conn); ok {
-				c.beginRequest(r.MaySend)
-				usedConn, newConnection = c, !i.Reused
-			}
-		},
-	})
-	req, err := http.NewRequestWithContext(tracedCtx, http.MethodPost, "http://"+r.Address+path, http.NoBody)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.Address+path, http.NoBody)
 	if err != nil {
 		return Response{}, toucanfault.NotRun(toucanpb.Code_CODE_INVALID, "invalid target address "+r.Address).Because(err)
 	}
@@ -142,43 +129,60 @@
 	}
 	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(req.Header))
 
-	httpResponse, err := c.pool(r.Address, r.MaxConnections).transport.RoundTrip(req)
+	p := c.pool(r.Address, r.MaxConnections)
+	usedConn, err := p.acquire(ctx, false)
+	if err != nil {
+		return transportError(ctx, nil, start, err)
+	}
+	reusable := false
+	defer func() { p.release(usedConn, reusable) }()
+	newConnection := !usedConn.used
+	usedConn.beginRequest(r.MaySend)
+	req.Close = p.reuseStopped()
+	httpResponse, err := usedConn.client.RoundTrip(req)
 	if err != nil {
 		response, err := transportError(ctx, usedConn, start, err)
 		response.NewConnection = newConnection
 		return response, err
 	}
-	response := parseHeaders(httpResponse.Header)
-	response.MaybeSent, response.NewConnection = true, newConnection
-	// Once the body is read, net/http gives the connection to the next leg.
-	if err := headerError(httpResponse.Header, id); err != nil {
-		closeAndWait(usedConn)
-		httpResponse.Body.Close()
+	defer httpResponse.Body.Close()
+	response := Response{MaybeSent: true, NewConnection: newConnection}
+	identified, err := hasID(httpResponse.Header, id)
+	if err != nil {
+		unattributedResponses.Inc()
 		return response, err
 	}
+	if !identified {
+		p.stopReuse()
+		if !newConnection && httpResponse.StatusCode != http.StatusOK {
+			unattributedResponses.Inc()
+			return response, errNoID
+		}
+	}
+	reported := parseHeaders(httpResponse.Header)
+	reported.MaybeSent, reported.NewConnection = true, newConnection
+	if identified || newConnection {
+		response = reported
+	}
 	responseBody, err := io.ReadAll(io.LimitReader(httpResponse.Body, maxBodyBytes+1))
 	response.Duration = time.Since(start)
 	if err != nil || len(responseBody) > maxBodyBytes {
-		closeAndWait(usedConn)
-		httpResponse.Body.Close()
 		if ctx.Err() != nil {
 			return response, contextError(ctx, toucanpb.Outcome_OUTCOME_UNKNOWN)
 		}
 		return response, toucanfault.Unknown(toucanpb.Code_CODE_INVALID, "response body truncated or over the limit").Because(err)
 	}
-	httpResponse.Body.Close()
-	usedConn.endRequest()
 	if err := statusError(httpResponse, responseBody); err != nil {
+		reusable = identified
 		return response, err
 	}
-	items, decodeErr := decodeResponse(responseBody, leg, id)
-	if decodeErr != nil {
-		// The response may belong to another request, so the connection cannot be reused.
-		closeAndWait(usedConn)
-		return response, decodeErr
+	items, err := decodeResponse(responseBody, leg, id)
+	if err != nil {
+		return response, err
 	}
-	response.Items = items
-	return response, nil
+	reusable = identified
+	reported.Duration, reported.Items = response.Duration, items
+	return reported, nil
 }
 
 // transportError closes the connection and returns the error for a failed round trip.
@@ -227,22 +231,49 @@
 
 // Health calls GET /health and returns what the response headers report, whatever the
 // status. Errors are of type *toucanfault.Error.
+//
+// The request has an id, which targets may return. If a target does not, each health
+// request has a connection of its own, so that its response can't be mistaken for that to
+// a leg, nor the reverse.
 func (c *Client) Health(ctx context.Context, address string, maxConnections int) (Response, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/health", http.NoBody)
 	if err != nil {
 		return Response{}, toucanfault.NotRun(toucanpb.Code_CODE_INVALID, "invalid target address "+address).Because(err)
 	}
+	id := healthID(c.requests.Add(1))
+	req.Header.Set(idHeader, id)
 	start := time.Now()
-	httpResponse, err := c.pool(address, maxConnections).transport.RoundTrip(req)
+	p := c.pool(address, maxConnections)
+	usedConn, err := p.acquire(ctx, !p.isHealthIdentified())
+	if err != nil {
+		return Response{}, toucanfault.NotRun(toucanpb.Code_CODE_DOWN, "health check failed").Because(err)
+	}
+	reusable := false
+	defer func() { p.release(usedConn, reusable) }()
+	newConnection := !usedConn.used
+	usedConn.beginRequest(nil)
+	httpResponse, err := usedConn.client.RoundTrip(req)
 	if err != nil {
 		return Response{}, toucanfault.NotRun(toucanpb.Code_CODE_DOWN, "health check failed").Because(err)
 	}
 	defer httpResponse.Body.Close()
+	identified, err := hasID(httpResponse.Header, id)
+	if err == nil {
+		p.setReturnsHealthID(identified)
+		if !identified && !newConnection {
+			err = errNoID
+		}
+	}
+	if err != nil {
+		unattributedResponses.Inc()
+		return Response{}, toucanfault.NotRun(toucanpb.Code_CODE_INVALID, "health check failed").Because(err)
+	}
 	response := parseHeaders(httpResponse.Header)
 	if _, err := io.Copy(io.Discard, io.LimitReader(httpResponse.Body, maxHeaderBytes)); err != nil {
 		return response, toucanfault.NotRun(toucanpb.Code_CODE_INVALID, "cannot read the health response body").Because(err)
 	}
 	response.Duration = time.Since(start)
+	reusable = identified
 	return response, nil
 }
 
@@ -253,7 +284,7 @@
 	defer c.mu.Unlock()
 	for address, p := range c.pools {
 		if !keep(address) {
-			p.transport.CloseIdleConnections()
+			p.close()
 			delete(c.pools, address)
 		}
 	}
@@ -263,61 +294,28 @@
 func (c *Client) Close() { c.Retain(func(string) bool { return false }) }
 
 // pool returns the connection pool of an address. If the limit has changed, it creates
-// a new transport, because net/http reads the limit without a lock. Connections of the
-// old transport close when their request ends.
+// a new one. Connections of the old one close when their request ends.
 func (c *Client) pool(address string, maxConnections int) *targetPool {
 	maxConnections = max(1, maxConnections)
 	c.mu.RLock()
 	p := c.pools[address]
 	c.mu.RUnlock()
-	if p != nil && p.maxConnections == maxConnections {
+	if p != nil && cap(p.slots) == maxConnections {
 		return p
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p = c.pools[address]
-	if p != nil && p.maxConnections == maxConnections {
+	if p != nil && cap(p.slots) == maxConnections {
 		return p
 	}
 	if p != nil {
-		p.transport.CloseIdleConnections()
+		p.close()
 	}
 	if c.pools == nil {
 		c.pools = make(map[string]*targetPool)
 	}
-	p = newTargetPool(maxConnections)
+	p = newTargetPool(address, maxConnections)
 	c.pools[address] = p
 	return p
 }
-
-func newTargetPool(maxConnections int) *targetPool {
-	p := &targetPool{maxConnections: maxConnections, dialSemaphore: make(chan struct{}, 1)}
-	protocols := new(http.Protocols)
-	protocols.SetHTTP1(true)
-	p.transport = &http.Transport{
-		DialContext:            p.dial,
-		MaxConnsPerHost:        maxConnections,
-		MaxIdleConnsPerHost:    maxConnections,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxHeaderBytes,
-		Protocols:              protocols,
-	}
-	return p
-}
-
-// dial opens one connection at a time, because accepting a connection costs a target
-// up to 6 ms.
-func (p *targetPool) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	select {
-	case p.dialSemaphore <- struct{}{}:
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-	defer func() { <-p.dialSemaphore }()
-	d := net.Dialer{Timeout: dialTimeout}
-	c, err := d.DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
-	}
-	return newConn(c), nil
-}
--- a/toucanstair/toucanexchange/codec.go
+++ b/toucanstair/toucanexchange/codec.go
@@ -31,11 +31,19 @@
 	Items []toucanpb.Item `json:"items"`
 }
 
-// legHeader is the response header with which a target returns the id of a leg, also in
-// refusals and failures. Targets may leave it out.
-const legHeader = "Toucan-Leg"
+// idHeader is the response header with which a target returns the id of a leg, also in
+// refusals and failures, and that of a health request, which has it as a request header.
+// Targets may leave it out.
+const idHeader = "Toucan-Leg"
 
-// legID returns the id of the nth leg that a client sends. The target returns it, so that
+// errNoID is the error for a response without an id on a connection that carried other
+// requests.
+var errNoID = toucanfault.Unknown(toucanpb.Code_CODE_INVALID, "response without an id may belong to an earlier request")
+
+// healthID returns the id of a health request that is the nth request of a client.
+func healthID(n uint64) string { return "health/" + strconv.FormatUint(n, 10) }
+
+// legID returns the id of a leg that is the nth request of a client. The target returns it, so that
 // a response to another leg is detected, also to an earlier attempt at the same replica.
 // Hedged requests and retries have the suffix /extra.
 func legID(l *toucanpb.Leg, n uint64) string {
@@ -61,12 +69,16 @@
 	})
 }
 
-// headerError returns an error if the header of a response has the id of another leg.
-func headerError(h http.Header, id string) error {
-	if got := h.Get(legHeader); got != "" && got != id {
-		return toucanfault.Unknown(toucanpb.Code_CODE_INVALID, "response has the id of another leg")
+// hasID reports whether the header of a response has the given id. It returns an error
+// if there is another id.
+func hasID(h http.Header, id string) (bool, error) {
+	ids := h.Values(idHeader)
+	for _, got := range ids {
+		if got != id {
+			return false, toucanfault.Unknown(toucanpb.Code_CODE_INVALID, "response has the id of another request")
+		}
 	}
-	return nil
+	return len(ids) > 0, nil
 }
 
 // decodeResponse parses a response body and checks that it belongs to the leg with the
--- a/toucanstair/toucanexchange/conn.go
+++ b/toucanstair/toucanexchange/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/http"
 	"sync/atomic"
 	"time"
 )
@@ -22,22 +23,25 @@
 // HTTP/1.1 carries one request at a time, so a connection needs a single phase.
 type conn struct {
 	net.Conn
+	client  *http.ClientConn // sends requests on this connection
+	used    bool             // a request was begun; only the holder of the slot reads and sets it
 	phase   atomic.Int32
 	closing atomic.Bool
-	// closed is closed after Close: at once if no request was in flight, else when the
-	// target has closed its side, which shows that it stopped working on the request, or
-	// after closeTimeout.
+	// closed is closed after Close when the target has closed its side, which shows that it
+	// stopped working on the request and no longer counts the connection, or after
+	// closeTimeout.
 	closed  chan struct{}
 	maySend func() bool // set by beginRequest, read by Write
 }
 
 func newConn(c net.Conn) *conn { return &conn{Conn: c, closed: make(chan struct{})} }
 
-// beginRequest prepares the connection for the next request. The transport passes the
-// request to its writer goroutine through a channel afterwards, which makes maySend
-// visible to Write.
+// beginRequest prepares the connection for the next request. client passes the request
+// to its writer goroutine through a channel afterwards, which makes maySend visible to
+// Write.
 func (c *conn) beginRequest(maySend func() bool) {
 	c.maySend = maySend
+	c.used = true
 	c.phase.Store(phaseReady)
 }
 
@@ -74,15 +78,14 @@
 	return n, err
 }
 
-// Close closes the connection at once when no request is in flight. Otherwise it closes
-// the sending side, which tells the target to stop, and leaves the rest to a goroutine
-// that waits at most closeTimeout for the target to close its side.
+// Close closes the sending side, which tells the target to stop, and leaves the rest to a
+// goroutine that waits at most closeTimeout for the target to close its side.
 func (c *conn) Close() error {
 	if !c.closing.CompareAndSwap(false, true) {
 		return nil
 	}
 	halfCloser, ok := c.Conn.(interface{ CloseWrite() error })
-	if !ok || c.phase.Load() != phaseWriting {
+	if !ok {
 		defer close(c.closed)
 		return c.Conn.Close()
 	}
--- a/toucantarget/toucansimulator/handler.go
+++ b/toucantarget/toucansimulator/handler.go
@@ -87,7 +87,6 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	w.Header().Set("Toucan-Leg", q.GetLeg())
 	l := t.admit(q, r.Header.Get("Toucan-Key"), once)
 	switch l.status {
 	case http.StatusOK:
@@ -114,6 +113,7 @@
 	if err := (protojson.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(b, q); err != nil {
 		return nil, toucanfault.NotRun(toucanpb.Code_CODE_INVALID, "decoding the request body").Because(err)
 	}
+	w.Header().Set("Toucan-Leg", q.GetLeg())
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if q.GetService() != t.spec.Service || q.GetShard() != t.spec.Shard {
@@ -255,13 +255,16 @@
 	h.Set("Toucan-Load", strconv.Itoa(t.record.InFlight))
 }
 
-func (t *Target) serveHealth(w http.ResponseWriter, _ *http.Request) {
+func (t *Target) serveHealth(w http.ResponseWriter, r *http.Request) {
 	s := t.laggedHealth()
 	t.mu.Lock()
 	boot := t.bootID()
 	t.recordColdReport(time.Now(), s.state)
 	t.mu.Unlock()
 	h := w.Header()
+	if id := r.Header.Get("Toucan-Leg"); id != "" {
+		h.Set("Toucan-Leg", id)
+	}
 	h.Set("Toucan-Boot", boot)
 	h.Set("Toucan-State", s.state)
 	h.Set("Toucan-Versions", formatVersions(s.indexes))
