--- a/toucanstair/toucantransport/echo.go
+++ b/toucanstair/toucantransport/echo.go
@@ -1,7 +1,5 @@
 package toucantransport
 
-import "net/http"
-
 // echo says whether a target has the id of the request in its responses of one kind.
 type echo int
 
@@ -26,7 +24,7 @@
 	switch {
 	case names.isRefusal(res):
 		return kindRefusal
-	case res.Status/100 == http.StatusOK/100:
+	case res.Status/100 == 2:
 		return kindSuccess
 	}
 	return kindFailure
--- a/toucanstair/toucantransport/pool.go
+++ b/toucanstair/toucantransport/pool.go
@@ -57,9 +57,9 @@
 	net.Conn
 	r           *bufio.Reader
 	limit       *limitedReader // below r
-	pool        *pool
-	unused      bool          // no response was read from it yet
-	idleTimeout time.Duration // after which the target closes an idle connection
+	pool        *pool          // to which it belongs
+	unused      bool           // no response was read from it yet
+	idleTimeout time.Duration  // after which the target closes an idle connection
 	lastUsed    time.Time
 	history     history
 }
@@ -174,9 +174,9 @@
 	idle         []*conn // most recently used last
 	open         int     // number of idle connections and those in use
 	closed       bool
-	echo         [responseKinds]echo
-	reducedLimit int       // limit after the target reset a new connection, at least 1
-	reducedUntil time.Time // end of the reduced limit
+	echo         [responseKinds]echo // by kind, whether responses have the id
+	reducedLimit int                 // limit after the target reset a new connection, at least 1
+	reducedUntil time.Time           // end of the reduced limit
 }
 
 // limit returns how many connections may be open now; 0 means no limit.
