Give up a leg's response with the start of another one in its head

A late refusal of the target was cut short in its head, and the response to the leg was read as the rest: status and refusal of the one, id of the other. The same cause as in toucantransport, whose check is now a package of its own, toucanresponse, that both use.

--- a/toucanstair/toucanexchange/client.go
+++ b/toucanstair/toucanexchange/client.go
@@ -147,7 +147,7 @@
 	}
 	defer httpResponse.Body.Close()
 	response := Response{MaybeSent: true, NewConnection: newConnection}
-	identified, err := hasID(httpResponse.Header, id)
+	identified, err := hasID(httpResponse, id)
 	if err != nil {
 		unattributedResponses.Inc()
 		return response, err
@@ -257,7 +257,7 @@
 		return Response{}, toucanfault.NotRun(toucanpb.Code_CODE_DOWN, "health check failed").Because(err)
 	}
 	defer httpResponse.Body.Close()
-	identified, err := hasID(httpResponse.Header, id)
+	identified, err := hasID(httpResponse, id)
 	if err == nil {
 		p.setReturnsHealthID(identified)
 		if !identified && !newConnection {
--- a/toucanstair/toucanexchange/codec.go
+++ b/toucanstair/toucanexchange/codec.go
@@ -8,6 +8,7 @@
 
 	"toucanstair.example/core/toucanfault"
 	"toucanstair.example/core/toucanpb"
+	"toucanstair.example/toucanstair/toucanresponse"
 )
 
 // targetQuery is the request body, with the fields of toucanpb.TargetQuery. Unlike
@@ -69,10 +70,13 @@
 	})
 }
 
-// hasID reports whether the header of a response has the given id. It returns an error
-// if there is another id.
-func hasID(h http.Header, id string) (bool, error) {
-	ids := h.Values(idHeader)
+// hasID reports whether a response has the given id. It returns an error if it has another
+// id, or a part of another response in its head.
+func hasID(res *http.Response, id string) (bool, error) {
+	if toucanresponse.HoldsStatusLine(res) {
+		return false, toucanfault.Unknown(toucanpb.Code_CODE_INVALID, "response has a part of another one in its head")
+	}
+	ids := res.Header.Values(idHeader)
 	for _, got := range ids {
 		if got != id {
 			return false, toucanfault.Unknown(toucanpb.Code_CODE_INVALID, "response has the id of another request")
--- a/toucanstair/toucantransport/transport.go
+++ b/toucanstair/toucantransport/transport.go
@@ -18,6 +18,7 @@
 
 	"toucanstair.example/core/toucanreplica"
 	"toucanstair.example/toucanstair/toucanquota"
+	"toucanstair.example/toucanstair/toucanresponse"
 )
 
 const (
@@ -354,7 +355,7 @@
 	defer res.Body.Close()
 	c.limit.startBody(maxBytes)
 	body, err := readBody(res, request, maxBytes)
-	if err == nil && (holdsStatusLine(res) || holdsResponse(names, body, c.r)) {
+	if err == nil && (toucanresponse.HoldsStatusLine(res) || holdsResponse(names, body, c.r)) {
 		mixedResponses.Inc()
 		err = errMixedResponse
 	}
