Tell for each status whether a target has ids in its responses

Cause: all failures counted as one kind. One answer without an id also ended the reuse of connections until such a one came with its id, which may be never.

Fix: each status, refused or not, is a kind of its own. A response without an id that may be a late one makes the pool suspect that the target leaves ids out, and the next response on a new connection that has its id ends the suspicion.

TestFailureWithoutIDDoesNotWaitForTheDeadline and TestSecondAnswerDoesNotReplaceAFailureWithoutID failed before; both passed on.

--- a/toucanstair/toucantransport/echo.go
+++ b/toucanstair/toucantransport/echo.go
@@ -11,56 +11,80 @@
 
 // responseKind is a kind of responses that a target sends either all with or all without
 // the id.
-type responseKind int
-
-const (
-	kindSuccess responseKind = iota
-	kindRefusal
-	kindFailure
-	responseKinds = iota
-)
+type responseKind struct {
+	status  int
+	refusal bool
+}
 
 func (names *Headers) kind(res *Response) responseKind {
-	switch {
-	case names.isRefusal(res):
-		return kindRefusal
-	case res.Status/100 == 2:
-		return kindSuccess
-	}
-	return kindFailure
+	return responseKind{res.Status, names.isRefusal(res)}
 }
 
-// echoes reports whether the target is known to have the id in responses of a kind.
-func (p *pool) echoes(k responseKind) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.echo[k] == echoPresent
+// echoes says whether a target has ids in its responses. Without them, a response can be
+// told from a late one to another request only on a connection that has carried one
+// request. The zero value knows nothing.
+type echoes struct {
+	known map[responseKind]echo
+	// suspected is set by a response without an id that may be a late one, until a response
+	// on a new connection has its id.
+	suspected bool
 }
 
-// recordEcho records whether a response of a kind had the id. Without it, a response can be
-// told from a late one to another request only on a connection that has carried one
-// request, so no connection is used again.
-func (p *pool) recordEcho(k responseKind, present bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+// record records whether the response to the only request of a connection, or one that has
+// its id, has the id.
+func (e *echoes) record(k responseKind, present, newConnection bool) {
+	if e.known == nil {
+		e.known = make(map[responseKind]echo)
+	}
+	e.known[k] = echoMissing
 	if present {
-		p.echo[k] = echoPresent
-		return
+		e.known[k] = echoPresent
 	}
-	if p.echo[k] != echoMissing {
-		omittedIDs.Inc()
+	if present && newConnection {
+		e.suspected = false
 	}
-	p.echo[k] = echoMissing
-	p.closeIdle()
 }
 
-// omitsIDs reports whether the target leaves the id out of responses of any kind; the
-// caller holds mu.
-func (p *pool) omitsIDs() bool {
-	for _, e := range p.echo {
-		if e == echoMissing {
+// omitted reports whether connections carry one request each.
+func (e *echoes) omitted() bool {
+	if e.suspected {
+		return true
+	}
+	for _, known := range e.known {
+		if known == echoMissing {
 			return true
 		}
 	}
 	return false
 }
+
+// hasID reports whether the target is known to have the id in responses of a kind.
+func (p *pool) hasID(k responseKind) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.echoes.known[k] == echoPresent
+}
+
+func (p *pool) recordEcho(k responseKind, present, newConnection bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.updateEchoes(func(e *echoes) { e.record(k, present, newConnection) })
+}
+
+// suspectOmission records a response without an id that may be a late one.
+func (p *pool) suspectOmission() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.updateEchoes(func(e *echoes) { e.suspected = true })
+}
+
+// updateEchoes applies a change and closes the idle connections if they carry no further
+// request after it; the caller holds mu.
+func (p *pool) updateEchoes(change func(*echoes)) {
+	before := p.echoes.omitted()
+	change(&p.echoes)
+	if !before && p.echoes.omitted() {
+		omittedIDs.Inc()
+		p.closeIdle()
+	}
+}
--- a/toucanstair/toucantransport/pool.go
+++ b/toucanstair/toucantransport/pool.go
@@ -174,9 +174,9 @@
 	idle         []*conn // most recently used last
 	open         int     // number of idle connections and those in use
 	closed       bool
-	echo         [responseKinds]echo // by kind, whether responses have the id
-	reducedLimit int                 // limit after the target reset a new connection, at least 1
-	reducedUntil time.Time           // end of the reduced limit
+	echoes       echoes
+	reducedLimit int       // limit after the target reset a new connection, at least 1
+	reducedUntil time.Time // end of the reduced limit
 }
 
 // limit returns how many connections may be open now; 0 means no limit.
@@ -269,7 +269,7 @@
 	c.lastUsed, c.unused = time.Now(), false
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || p.omitsIDs() {
+	if p.closed || p.echoes.omitted() {
 		p.open--
 		c.Close()
 		return
--- a/toucanstair/toucantransport/transport.go
+++ b/toucanstair/toucantransport/transport.go
@@ -312,8 +312,8 @@
 			switch {
 			case reason == unknownID:
 				return nil, false, errUnattributed
-			case reason == noID && !c.pool.echoes(kind):
-				c.pool.recordEcho(kind, false)
+			case reason == noID && !c.pool.hasID(kind):
+				c.pool.suspectOmission()
 				return nil, false, errUnattributed
 			case last:
 				return nil, false, errNoFinalResponse
@@ -321,7 +321,7 @@
 			skipped++
 			continue
 		}
-		c.pool.recordEcho(kind, echoed)
+		c.pool.recordEcho(kind, echoed, len(c.history.requests) == 1)
 		c.setIdleTimeout(res.Header.Get("Keep-Alive"))
 		c.history.record(t.Headers, res)
 		return res, !last && echoed && !c.history.full() && c.r.Buffered() == 0, nil
