Find the start of a second answer in a body with any usual reason

A reason with digits or brackets hid the start of a second answer at the end of a body that was cut short.

--- a/toucanstair/toucantransport/framing.go
+++ b/toucanstair/toucantransport/framing.go
@@ -10,7 +10,7 @@
 )
 
 // cutHead matches the start of a response up to any place within its head.
-var cutHead = regexp.MustCompile(`^HTTP/1\.[0-9] ([0-9]{0,3}|[0-9]{3} [A-Za-z' -]{0,40}(\n[-\w!#$%&'*+.^|~]+:[^\n]*)*(\n[-\w!#$%&'*+.^|~]*)?)$`)
+var cutHead = regexp.MustCompile(`^HTTP/1\.[0-9] ([0-9]{0,3}|[0-9]{3} [\w ()'-]{0,40}(\n[-\w!#$%&'*+.^|~]+:[^\n]*)*(\n[-\w!#$%&'*+.^|~]*)?)$`)
 
 // holdsResponse reports whether a body has a response of the target in it: the body was cut
 // short or had no length, and the target's next response was read as the rest of it. A
