Use connections again after one late answer without an id

Cause: such an answer counted as proof that the target leaves ids out, for good. It is proof only as the first response of a connection.

Fix: a later one is a suspicion, which the next first response with its id ends; what is proved is kept for each status until such a response has its id.

--- a/toucanstair/toucanexchange/client.go
+++ b/toucanstair/toucanexchange/client.go
@@ -152,12 +152,10 @@
 		unattributedResponses.Inc()
 		return response, err
 	}
-	if !identified {
-		p.stopReuse()
-		if !newConnection && httpResponse.StatusCode != http.StatusOK {
-			unattributedResponses.Inc()
-			return response, errNoID
-		}
+	p.recordID(httpResponse.StatusCode, identified, newConnection)
+	if !identified && !newConnection && httpResponse.StatusCode != http.StatusOK {
+		unattributedResponses.Inc()
+		return response, errNoID
 	}
 	reported := parseHeaders(httpResponse.Header)
 	reported.MaybeSent, reported.NewConnection = true, newConnection
--- a/toucanstair/toucanexchange/pool.go
+++ b/toucanstair/toucanexchange/pool.go
@@ -25,8 +25,9 @@
 	mu              sync.Mutex
 	idle            []*conn // most recently used last
 	closed          bool
-	omitsLegID      bool // a response to a leg had no id; no connection is used again
-	returnsHealthID bool // the last response to a health request had its id
+	omitsLegID      map[int]bool // by status, the first response of a connection to a leg had no id
+	suspected       bool         // a later one had none, and no first one has had its id since
+	returnsHealthID bool         // the last response to a health request had its id
 }
 
 func newTargetPool(address string, maxConnections int) *targetPool {
@@ -132,7 +133,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	// Available is 0 if the target ends the connection with the response.
-	if p.closed || p.omitsLegID && c.used || c.client.Available() == 0 {
+	if p.closed || p.stopped() && c.used || c.client.Available() == 0 {
 		return false
 	}
 	c.endRequest()
@@ -154,20 +155,34 @@
 	return c
 }
 
-// stopReuse makes every connection carry only one request from now on. Idle connections
-// are closed when new ones replace them.
-func (p *targetPool) stopReuse() {
+// recordID records whether a response to a leg had its id. While the target leaves ids
+// out, each connection carries one request. Idle ones are closed when new ones replace them.
+func (p *targetPool) recordID(status int, identified, newConnection bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.omitsLegID = true
+	switch {
+	case identified:
+		delete(p.omitsLegID, status)
+		p.suspected = p.suspected && !newConnection
+	case newConnection:
+		if p.omitsLegID == nil {
+			p.omitsLegID = make(map[int]bool)
+		}
+		p.omitsLegID[status] = true
+	default:
+		p.suspected = true
+	}
 }
 
 func (p *targetPool) reuseStopped() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.omitsLegID
+	return p.stopped()
 }
 
+// stopped reports whether each connection carries one request; the caller holds mu.
+func (p *targetPool) stopped() bool { return p.suspected || len(p.omitsLegID) > 0 }
+
 func (p *targetPool) setReturnsHealthID(returns bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
