Answer a request that a defect of the host ends

Related paths, searched for the same cause: any panic of the forwarding handler closed the caller's connection, while the product's own path has answered 500 all along; and a reply between hosts with a status that HTTP does not have (-1, 99, 1000) panicked in WriteHeader, or went out as an interim response (101).

Now a panic is answered with 500 and logged with its stack, and the connection stays open; a response that has begun is aborted. A reply whose status is not final ends with 502.

--- a/toucanstair/toucanforward/forwarder.go
+++ b/toucanstair/toucanforward/forwarder.go
@@ -22,6 +22,7 @@
 	"toucanstair.example/core/toucanservice"
 	"toucanstair.example/core/toucanzone"
 	"toucanstair.example/toucanstair/toucanbalancer"
+	"toucanstair.example/toucanstair/toucanpanic"
 	"toucanstair.example/toucanstair/toucanquota"
 	"toucanstair.example/toucanstair/toucanretry"
 	"toucanstair.example/toucanstair/toucanrollout"
@@ -110,14 +111,32 @@
 	// Otherwise net/http reads the rest of a body before it sends the response. Only
 	// writers in tests don't support it.
 	_ = http.NewResponseController(w).EnableFullDuplex()
-	if !f.serve(w, r) && r.Body != nil && r.Body != http.NoBody {
+	tracked := &trackedWriter{ResponseWriter: w}
+	var result serveResult
+	if panicked := toucanpanic.Call(func() { result = f.serve(tracked, r) }); panicked != nil {
+		result = f.failAfterPanic(tracked, r, panicked)
+	}
+	switch {
+	case result == callerLeft:
+		// Without a panic net/http would send a success, which a caller that has closed only
+		// its sending side reads.
+		panic(http.ErrAbortHandler)
+	case result == bodyUnread && r.Body != nil && r.Body != http.NoBody:
 		drainBody(w, r)
 	}
 }
 
-// serve writes the response to a request. It returns false if it may not have read the
-// body to its end.
-func (f *Forwarder) serve(w http.ResponseWriter, r *http.Request) bool {
+// serveResult says how serving a request ended.
+type serveResult int
+
+const (
+	bodyUnread serveResult = iota // there is a response, the body may not be read to its end
+	bodyRead                      // there is a response, and the body is read
+	callerLeft                    // there is no response, or only a part of one
+)
+
+// serve writes the response to a request.
+func (f *Forwarder) serve(w http.ResponseWriter, r *http.Request) serveResult {
 	start := time.Now()
 	if f.Draining != nil && f.Draining() {
 		w.Header().Set("Connection", "close")
@@ -129,14 +148,14 @@
 	rules := f.Config.Rules()
 	if rules == nil {
 		f.refuse(w, log, retryAfterNoConfig, "no configuration is in effect yet")
-		return false
+		return bodyUnread
 	}
 	log.rulesVersion = rules.Version
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	route := rules.MatchRoute(r.Host, path)
 	if route == nil {
 		f.fail(w, log, http.StatusNotFound, "no route matches the host name and path")
-		return false
+		return bodyUnread
 	}
 	log.route = route.Name
 	ctx, span := startServerSpan(r.Context(), propagation.HeaderCarrier(r.Header), "request")
@@ -144,17 +163,17 @@
 	r = r.WithContext(ctx)
 	if log.id == "" {
 		f.fail(w, log, http.StatusBadRequest, "the request has no id")
-		return false
+		return bodyUnread
 	}
 	if inFlight > maxInFlight {
 		refusedFull.Inc()
 		f.refuse(w, log, retryAfterOverload, "the host has too many requests in flight")
-		return false
+		return bodyUnread
 	}
 	deadline, err := f.requestDeadline(r, route, start)
 	if err != nil {
 		f.fail(w, log, http.StatusBadRequest, err.Error())
-		return false
+		return bodyUnread
 	}
 	memory := &reservingReader{quota: f.Memory}
 	defer memory.release()
@@ -163,11 +182,11 @@
 	case errors.Is(err, errNoMemory):
 		refusedFull.Inc()
 		f.refuse(w, log, retryAfterOverload, err.Error())
-		return false
+		return bodyUnread
 	case err != nil:
 		w.Header().Set("Connection", "close")
 		f.fail(w, log, status, err.Error())
-		return false
+		return bodyUnread
 	}
 	message := toucantransport.NewMessage(log.id, r.Method, r.RequestURI, r.Host, f.forwardableHeader(r.Header), body)
 	d := f.newDispatch(message, route, log, deadline)
@@ -177,11 +196,9 @@
 		d.respond(w)
 	}
 	if log.status == statusCallerGone {
-		// Without a panic net/http would send a success, which a caller that has closed only
-		// its sending side reads.
-		panic(http.ErrAbortHandler)
+		return callerLeft
 	}
-	return true
+	return bodyRead
 }
 
 // requestDeadline returns when a request ends: at the route's timeout or at the
--- a/toucanstair/toucanforward/gateway.go
+++ b/toucanstair/toucanforward/gateway.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc"
 
 	"toucanstair.example/core/toucanpb"
+	"toucanstair.example/core/toucanstatus"
 	"toucanstair.example/toucanstair/toucangateway"
 	"toucanstair.example/toucanstair/toucanplacement"
 	"toucanstair.example/toucanstair/toucanrules"
@@ -77,6 +78,10 @@
 		f.fail(w, log, http.StatusBadGateway, "host "+string(peer.ID)+" failed: "+err.Error())
 		return true
 	}
+	if err := toucanstatus.Code(reply.GetStatus()).CheckFinal(); err != nil {
+		f.fail(w, log, http.StatusBadGateway, "host "+string(peer.ID)+" failed: "+err.Error())
+		return true
+	}
 	log.status, log.reason, log.missing = int(reply.GetStatus()), reply.GetWhy(), int(reply.GetMissing())
 	log.addNote("gathered by " + string(peer.ID))
 	for _, h := range reply.GetFields() {
--- a/toucanstair/toucanforward/gateway_test.go
+++ b/toucanstair/toucanforward/gateway_test.go
@@ -249,3 +249,18 @@
 	require.Equal(t, ids["gather"], parents["request of another host"])
 	require.Equal(t, ids["request of another host"], parents["target"])
 }
+
+// Guards against a reply whose status HTTP does not have: net/http panics on some of them
+// and sends others as interim responses.
+func TestReplyWithInvalidStatusEndsRequestWithBadGateway(t *testing.T) {
+	for _, status := range []int32{-1, 1, 99, 101, 199, 600, 999, 1000} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			weak := newTestHost(8, fastTarget)
+			placer := &toucanplacement.Placer{Self: toucansource.Peer{ID: "weak", Zone: "a", CPUMillis: 100}}
+			placer.Update([]toucansource.Peer{{ID: "strong", Zone: "a", CPUMillis: 800, Address: "10.0.0.1:1"}})
+			weak.Delegation = &Delegation{Placer: placer, Client: fixedReply{&toucanpb.GatherReply{Status: status}}}
+			w, _ := weak.get(t.Context())
+			require.Equal(t, http.StatusBadGateway, w.Code)
+		})
+	}
+}
