Complete a rollout only when its responses speak against a worse version

Causes: - A move was held only by an excess with p < 1e-4, which the 8 to 20 responses of a rare route never reach. Without evidence of either kind it was completed. - Half of that evidence was lost: the first four responses of each route on each host, all responses of cold targets and those on new connections were not counted, also as failures, and a rare route got about a quarter of its requests tried.

At the deadline a route without a failure passes, however rare it is. Failures count on all responses of targets; latencies only where they say something (Evidence has the number of those, 0 from hosts of earlier versions). The extra requests are spread over the time, hosts with less than one request each round to different sides, and a route's share is counted and not drawn, so that rare routes get twice the samples. A leader that only lacks responses decides 1 s after one that has them.

TestStageHoldNeedsSignificance keeps its cases and asks the gate. Tests that passed request ids to ChooseVersion lose them; TestExtraRequestsAreDividedBeforeHostsAreListed sends some requests to the old version first, since a route's share is now counted. The product's own moves keep their rule: their operators set the samples of each stage.

--- a/toucanstair/toucancanary/controller.go
+++ b/toucanstair/toucancanary/controller.go
@@ -14,7 +14,9 @@
 //     samples with a common failure rate of 5% exceed a bound of 0.05 by chance
 //     every few checks; for slow responses summed over all hosts, the legs of a
 //     request count as one observation, because a stall slows down all of them;
-//   - a move is held at a stage only by a significant excess, too (p < 1e-4);
+//   - a move is held at a stage while its responses on a route are more probable with a
+//     worse new version than with an equal one, and one that ends at its deadline, until
+//     they are much more probable with an equal one (gate);
 //   - a response is slow when it takes more than twice the old version's median
 //     on that route and host, and at least 5 ms more than the median.
 //
@@ -87,7 +89,11 @@
 	// EndAtDeadline ends a move at its deadline: it is done if nothing holds it, and
 	// rolled back otherwise. Without it, the move stays at its stage in phase late.
 	EndAtDeadline bool
-	Log           *zap.Logger
+	// RouteShare is the largest share of a route's requests that goes to the new version,
+	// used with EndAtDeadline. A route with so few requests that either version may get fewer
+	// than the move's samples needs none. 0 means that each route needs them.
+	RouteShare float64
+	Log        *zap.Logger
 
 	evaluations atomic.Pointer[map[string]*evaluation] // by move name; the map is replaced, never changed
 	gossipTurn  atomic.Uint64                          // rotates the move that Offer starts with
@@ -141,7 +147,8 @@
 }
 
 // RecordResponse counts a response. Refusals that do not depend on the version,
-// such as those of a stopping host or after the caller cancelled, are not counted.
+// such as those of a stopping host or after the caller cancelled, are not counted. A
+// negative latency does not count, only whether the request failed.
 func (c *Controller) RecordResponse(s toucanservice.Name, version, route string, code toucanpb.Code, took time.Duration) {
 	m := c.move(s)
 	if m == nil || version != m.GetFrom() && version != m.GetTo() {
--- a/toucanstair/toucancanary/evaluation.go
+++ b/toucanstair/toucancanary/evaluation.go
@@ -22,8 +22,8 @@
 	// relativeExcess is the fraction of the old version's share of bad responses that
 	// is added to the bound.
 	relativeExcess = 0.5
-	// holdPValue is the significance level at which an excess holds a move at its
-	// stage. With 42 responses of the new version among 200 and a usual rate of 4%
+	// holdPValue is the significance level at which an excess of slow responses holds a move
+	// at its stage while there are few. With 42 responses of the new version among 200 and a usual rate of 4%
 	// slow responses, it holds a good version in 3 of 100,000 cases, and one with 40%
 	// slow responses in 97 of 100. It may be above rollbackPValue, because it is tested a
 	// few times at the end of a stage and not throughout the stage.
@@ -208,10 +208,10 @@
 	if !ev.open() || e.GetStage() != ev.stage || !isNew && e.GetVersion() != m.GetFrom() {
 		return
 	}
-	if e.GetErrors() > e.GetAnswers() || e.GetSlow() > e.GetAnswers() || len(e.GetSource()) > maxStringBytes || len(e.GetRoute()) > maxStringBytes {
+	if e.GetErrors() > e.GetAnswers() || e.GetSlow() > e.GetAnswers() || e.GetTimed() > e.GetAnswers()-e.GetErrors() || len(e.GetSource()) > maxStringBytes || len(e.GetRoute()) > maxStringBytes {
 		return
 	}
-	p := countPair{old: counts{e.GetAnswers(), e.GetErrors(), e.GetSlow()}}
+	p := countPair{old: counts{e.GetAnswers(), e.GetErrors(), min(e.GetSlow(), e.GetTimed()), e.GetTimed()}}
 	if isNew {
 		p.old, p.new = p.new, p.old
 	}
@@ -236,16 +236,8 @@
 		}
 	}
 	previous, total := e.countPair, ev.totals[key.route]
-	for _, f := range []struct{ held, total *counts }{{&e.old, &total.old}, {&e.new, &total.new}} {
-		in := p.old
-		if f.held == &e.new {
-			in = p.new
-		}
-		f.total.answers += max(in.answers, f.held.answers) - f.held.answers
-		f.total.errors += max(in.errors, f.held.errors) - f.held.errors
-		f.total.slow += max(in.slow, f.held.slow) - f.held.slow
-		*f.held = counts{max(in.answers, f.held.answers), max(in.errors, f.held.errors), max(in.slow, f.held.slow)}
-	}
+	e.old, e.new = e.old.merge(p.old), e.new.merge(p.new)
+	total.old, total.new = total.old.plus(e.old.minus(previous.old)), total.new.plus(e.new.minus(previous.new))
 	if previous != e.countPair {
 		ev.sequence++
 		e.changed = ev.sequence
@@ -306,7 +298,7 @@
 		for version, c := range map[string]counts{m.GetFrom(): e.old, m.GetTo(): e.new} {
 			out = append(out, &toucanpb.Evidence{
 				Source: e.key.source, Move: m.GetName(), Version: version, Route: e.key.route,
-				Answers: c.answers, Errors: c.errors, Slow: c.slow, Stage: ev.stage,
+				Answers: c.answers, Errors: c.errors, Slow: c.slow, Timed: c.timed, Stage: ev.stage,
 			})
 		}
 	}
@@ -355,11 +347,9 @@
 // regression describes how the new version is significantly worse than the old
 // one, or returns "".
 func regression(p countPair, bound float64, legs uint64) string {
-	if p.new.answers < minSamples || p.old.answers < minSamples {
-		return ""
-	}
 	for _, c := range p.comparisons(legs) {
-		if c.exceeds(bound) && c.pValue() < rollbackPValue {
+		enough := c.pair.new.answers >= minSamples && c.pair.old.answers >= minSamples
+		if enough && c.exceeds(bound) && c.pValue() < rollbackPValue {
 			return c.String()
 		}
 	}
@@ -368,7 +358,7 @@
 
 // comparison compares the failed or the slow responses of both versions.
 type comparison struct {
-	what           string
+	what           badness
 	pair           countPair
 	newBad, oldBad uint64 // bad responses
 	legs           uint64 // number of responses that are correlated; 1: all independent
@@ -378,8 +368,8 @@
 // legs, and of slow responses, which are correlated between the legs of a request.
 func (p countPair) comparisons(legs uint64) [2]comparison {
 	return [2]comparison{
-		{"failed", p, p.new.errors, p.old.errors, 1},
-		{"slow", p, p.new.slow, p.old.slow, legs},
+		{failures, p, p.new.errors, p.old.errors, 1},
+		{slowness, countPair{counts{answers: p.old.timed}, counts{answers: p.new.timed}}, p.new.slow, p.old.slow, legs},
 	}
 }
 
@@ -400,28 +390,44 @@
 	return fmt.Sprintf("%d of %d responses %s, %d of %d of the old version", c.newBad, c.pair.new.answers, c.what, c.oldBad, c.pair.old.answers)
 }
 
-// holdReason returns what keeps the move at its stage, or "".
-func (ev *evaluation) holdReason() string {
+// hold is what keeps a move at its stage.
+type hold struct {
+	reason string // "": nothing
+	// lacksResponses says that this host knows too few responses. Other hosts may know more.
+	lacksResponses bool
+}
+
+// hold returns what keeps the move at its stage.
+func (ev *evaluation) hold(g gate) hold {
 	m := ev.move.Load()
 	ev.mu.Lock()
 	defer ev.mu.Unlock()
 	if len(ev.totals) == 0 {
-		return "no responses"
+		return hold{"no responses", true}
 	}
-	legs := ev.legs.Load()
+	legs, seen := ev.legs.Load(), uint64(0)
 	for _, name := range slices.Sorted(maps.Keys(ev.totals)) {
 		p := *ev.totals[name]
+		seen += p.new.answers
+		expected := min(g.routeShare, 1-g.routeShare) * float64(p.new.answers+p.old.answers)
 		switch {
+		case g.routeShare > 0 && expected < float64(m.GetSamples()):
+			// The route is too rare for the samples.
 		case p.new.answers < m.GetSamples():
-			return fmt.Sprintf("route %s has %d of %d responses of the new version at stage %d", name, p.new.answers, m.GetSamples(), ev.stage)
+			return hold{fmt.Sprintf("route %s has %d of %d responses of the new version at stage %d", name, p.new.answers, m.GetSamples(), ev.stage), true}
 		case p.old.answers < min(minSamples, m.GetSamples()):
-			return fmt.Sprintf("route %s has %d responses of the old version at stage %d", name, p.old.answers, ev.stage)
+			return hold{fmt.Sprintf("route %s has %d responses of the old version at stage %d", name, p.old.answers, ev.stage), true}
+		case p.new.timed < g.minTimed:
+			return hold{fmt.Sprintf("the latency of %d of %d responses of the new version on route %s is known at stage %d", p.new.timed, g.minTimed, name, ev.stage), true}
 		}
 		for _, c := range p.comparisons(legs) {
-			if c.exceeds(m.GetBound()) && c.pValue() < holdPValue {
-				return fmt.Sprintf("route %s is not good enough at stage %d: %s", name, ev.stage, c)
+			if g.holds(c, m.GetBound()) {
+				return hold{reason: fmt.Sprintf("route %s is not good enough at stage %d: %s", name, ev.stage, c)}
 			}
 		}
 	}
-	return ""
+	if seen < m.GetSamples() {
+		return hold{fmt.Sprintf("there are %d of %d responses of the new version at stage %d", seen, m.GetSamples(), ev.stage), true}
+	}
+	return hold{}
 }
--- a/toucanstair/toucancanary/loop.go
+++ b/toucanstair/toucancanary/loop.go
@@ -220,14 +220,18 @@
 	default:
 		return s
 	}
-	holdReason := ev.holdReason()
 	if c.EndAtDeadline {
 		deadline = deadline.Add(-decisionLead)
 	}
-	if !now.Before(deadline) {
-		return c.stateAfterDeadline(s, holdReason)
+	atDeadline := !now.Before(deadline)
+	hold := ev.hold(c.gate(atDeadline))
+	switch {
+	case atDeadline && c.EndAtDeadline && hold.lacksResponses && now.Before(deadline.Add(decisionLead-tick)):
+		return s // a leader that knows more responses decides first
+	case atDeadline:
+		return c.stateAfterDeadline(s, hold.reason)
 	}
-	if holdReason != "" || now.Sub(ev.stageStarted()) < c.minStageDuration(m, s.GetStage(), ev.stageStarted()) {
+	if hold.reason != "" || now.Sub(ev.stageStarted()) < c.minStageDuration(m, s.GetStage(), ev.stageStarted()) {
 		return s
 	}
 	if int(s.GetStage()) < len(m.GetSteps()) {
--- a/toucanstair/toucancanary/routestats.go
+++ b/toucanstair/toucancanary/routestats.go
@@ -31,13 +31,13 @@
 	// The median needs medianSamples responses. It covers the responses of the last
 	// one to two intervals of histogramRotation, and older ones when there are fewer
 	// samples.
-	medianSamples     = 10
+	medianSamples     = 4
 	histogramRotation = 2 * time.Second
 
 	// maxUnclassified bounds the latencies of a route that are kept until its
 	// threshold is known: those of the median and as many of the new version, with
 	// room to spare.
-	maxUnclassified = 4 * medianSamples
+	maxUnclassified = 10 * medianSamples
 
 	// histogramBuckets covers latencies up to 2^32 us, about 71 minutes.
 	histogramBuckets = 128
@@ -46,10 +46,23 @@
 )
 
 // counts holds the counters of one version; within a stage they only increase.
-type counts struct{ answers, errors, slow uint64 }
+type counts struct {
+	answers, errors, slow uint64
+	timed                 uint64 // successes that are known to be slow or not; part of answers
+}
 
 func (c counts) minus(o counts) counts {
-	return counts{c.answers - o.answers, c.errors - o.errors, c.slow - o.slow}
+	return counts{c.answers - o.answers, c.errors - o.errors, c.slow - o.slow, c.timed - o.timed}
+}
+
+// merge raises the counters to those of o where these are higher.
+func (c counts) merge(o counts) counts {
+	return counts{max(c.answers, o.answers), max(c.errors, o.errors), max(c.slow, o.slow), max(c.timed, o.timed)}
+}
+
+// plus returns the sum of two counts.
+func (c counts) plus(o counts) counts {
+	return counts{c.answers + o.answers, c.errors + o.errors, c.slow + o.slow, c.timed + o.timed}
 }
 
 // countPair holds the counters of both versions over the same interval.
@@ -101,12 +114,14 @@
 	return r.totals
 }
 
-// observe counts a response and returns a reason to roll back, or "".
+// observe counts a response and returns a reason to roll back, or "". A negative latency
+// does not count.
 func (r *routeStats) observe(isNew, fail bool, took time.Duration) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c := &r.totals.old
-	slow := !fail && r.threshold > 0 && took > r.threshold
+	measured := !fail && took >= 0
+	slow := measured && r.threshold > 0 && took > r.threshold
 	if isNew {
 		c = &r.totals.new
 		r.addToWindow(windowEntry{fail, slow, r.totals.old})
@@ -115,14 +130,15 @@
 	switch {
 	case fail:
 		c.errors++
-	case slow:
-		c.slow++
+	case measured && r.threshold > 0:
+		c.timed++
+		c.slow += uint64(boolToInt(slow))
 	}
-	if !fail && r.threshold == 0 && r.unclassifiedCount < maxUnclassified {
+	if measured && r.threshold == 0 && r.unclassifiedCount < maxUnclassified {
 		r.unclassified[r.unclassifiedCount] = sample{isNew, took}
 		r.unclassifiedCount++
 	}
-	if !isNew && !fail {
+	if !isNew && measured {
 		r.histograms[0][bucket(took)]++
 		r.histogramCounts[0]++
 	}
@@ -209,13 +225,12 @@
 // recorded before the threshold was known.
 func (r *routeStats) classifyUnclassified() {
 	for _, e := range r.unclassified[:r.unclassifiedCount] {
-		switch {
-		case e.took <= r.threshold:
-		case e.isNew:
-			r.totals.new.slow++
-		default:
-			r.totals.old.slow++
+		c := &r.totals.old
+		if e.isNew {
+			c = &r.totals.new
 		}
+		c.timed++
+		c.slow += uint64(boolToInt(e.took > r.threshold))
 	}
 	r.unclassifiedCount = 0
 }
--- a/toucanstair/toucancanary/routestats_test.go
+++ b/toucanstair/toucancanary/routestats_test.go
@@ -1,6 +1,7 @@
 package toucancanary
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -12,7 +13,8 @@
 func TestResponsesBeforeThresholdAreClassifiedLater(t *testing.T) {
 	const usual, slow = 10 * time.Millisecond, 50 * time.Millisecond
 	var r routeStats
-	for range medianSamples / 2 {
+	const usualOnes = medianSamples - 2
+	for range usualOnes {
 		r.observe(true, false, slow)
 		r.observe(false, false, usual)
 		r.observe(true, true, slow)
@@ -20,14 +22,13 @@
 	r.observe(false, false, slow)
 	r.updateThreshold(time.Now())
 	require.Zero(t, r.snapshot().new.slow, "too few responses for a median")
-	for range medianSamples / 2 {
-		r.observe(false, false, usual)
-	}
+	require.Zero(t, r.snapshot().new.timed, "too few responses for a median")
+	r.observe(false, false, usual)
 	r.updateThreshold(time.Now())
 	r.updateThreshold(time.Now())
 	require.Equal(t, countPair{
-		old: counts{answers: medianSamples + 1, slow: 1},
-		new: counts{answers: medianSamples, errors: medianSamples / 2, slow: medianSamples / 2},
+		old: counts{answers: usualOnes + 2, slow: 1, timed: usualOnes + 2},
+		new: counts{answers: 2 * usualOnes, errors: usualOnes, slow: usualOnes, timed: usualOnes},
 	}, r.snapshot())
 }
 
@@ -39,15 +40,91 @@
 		pair     countPair
 		heldBack bool
 	}{
-		{"two pauses", countPair{old: counts{172, 0, 2}, new: counts{16, 0, 2}}, false},
-		{"a third fails", countPair{old: counts{172, 1, 5}, new: counts{33, 11, 0}}, true},
-		{"a third is slow", countPair{old: counts{172, 1, 5}, new: counts{33, 0, 11}}, true},
-		{"overload", countPair{old: counts{172, 60, 60}, new: counts{33, 14, 14}}, false},
+		{"two pauses", countPair{old: counts{answers: 172, errors: 0, slow: 2, timed: 172}, new: counts{answers: 16, errors: 0, slow: 2, timed: 16}}, false},
+		{"a third fails", countPair{old: counts{answers: 172, errors: 1, slow: 5, timed: 172}, new: counts{answers: 33, errors: 11, slow: 0, timed: 33}}, true},
+		{"a third is slow", countPair{old: counts{answers: 172, errors: 1, slow: 5, timed: 172}, new: counts{answers: 33, errors: 0, slow: 11, timed: 33}}, true},
+		{"overload", countPair{old: counts{answers: 172, errors: 60, slow: 60, timed: 172}, new: counts{answers: 33, errors: 14, slow: 14, timed: 33}}, false},
 	} {
 		held := false
 		for _, k := range c.pair.comparisons(1) {
-			held = held || k.exceeds(0.1) && k.pValue() < holdPValue
+			held = held || finalGate().holds(k, 0.1)
 		}
 		require.Equal(t, c.heldBack, held, c.name)
 	}
 }
+
+// Guards against a latency that does not count, of a cold target or on a new connection, that
+// is taken for a fast or a slow response, and against a failure there that is not counted.
+func TestUntimedResponsesCountForFailuresOnly(t *testing.T) {
+	const usual, slow = 10 * time.Millisecond, 50 * time.Millisecond
+	var r routeStats
+	for range medianSamples {
+		r.observe(false, false, -1)
+	}
+	r.updateThreshold(time.Now())
+	r.observe(true, false, slow)
+	require.Zero(t, r.threshold, "no latency is known")
+	for range medianSamples {
+		r.observe(false, false, usual)
+	}
+	r.updateThreshold(time.Now())
+	r.observe(true, false, -1)
+	r.observe(true, true, -1)
+	require.Equal(t, countPair{
+		old: counts{answers: 2 * medianSamples, timed: medianSamples},
+		new: counts{answers: 3, errors: 1, slow: 1, timed: 1},
+	}, r.snapshot())
+}
+
+// finalGate returns the gate at the deadline of a move that ends there.
+func finalGate() gate { return (&Controller{EndAtDeadline: true}).gate(true) }
+
+// binomial returns the probability of each number of bad ones among n responses.
+func binomial(n uint64, share float64) []float64 {
+	out := make([]float64, n+1)
+	for k := range out {
+		out[k] = math.Exp(logBinomial(n, uint64(k))) * math.Pow(share, float64(k)) * math.Pow(1-share, float64(n)-float64(k))
+	}
+	return out
+}
+
+// passShare returns how often a route passes the gate at the deadline.
+func passShare(what badness, newAnswers, oldAnswers uint64, newShare, oldShare float64) float64 {
+	pass := 0.0
+	for k0, p0 := range binomial(oldAnswers, oldShare) {
+		for k, p := range binomial(newAnswers, newShare) {
+			c := comparison{what: what, pair: countPair{old: counts{answers: oldAnswers}, new: counts{answers: newAnswers}}, newBad: uint64(k), oldBad: uint64(k0), legs: 1}
+			if p0*p > 1e-12 && !finalGate().holds(c, 0.1) {
+				pass += p0 * p
+			}
+		}
+	}
+	return pass
+}
+
+// Guards against a gate that lets more than 1 in 100 bad versions pass or holds more than 1
+// in 20 good ones. Completing a bad version breaks a rule, rolling back a good one costs a
+// fiftieth of that. The shares are exact.
+func TestGateErrorsStayWithinTargets(t *testing.T) {
+	const maxBadPassed, maxGoodHeld = 0.01, 0.05
+	for _, answers := range []struct{ new, old uint64 }{{45, 50}, {60, 60}, {45, 300}} {
+		for _, usual := range []float64{0, 0.002, 0.01, 0.02} {
+			require.LessOrEqual(t, passShare(failures, answers.new, answers.old, usual+0.2, usual), maxBadPassed, "%v responses, %v fail", answers, usual)
+			require.LessOrEqual(t, 1-passShare(failures, answers.new, answers.old, usual, usual), maxGoodHeld, "%v responses, %v fail", answers, usual)
+		}
+		for _, usual := range []float64{0, 0.02, 0.04} {
+			require.LessOrEqual(t, passShare(slowness, answers.new, answers.old, usual+0.4, usual), maxBadPassed, "%v responses, %v slow", answers, usual)
+			require.LessOrEqual(t, 1-passShare(slowness, answers.new, answers.old, usual, usual), maxGoodHeld, "%v responses, %v slow", answers, usual)
+		}
+	}
+}
+
+// Guards against a rare route on which a good version can never pass.
+func TestGatePassesFewResponsesWithoutFailure(t *testing.T) {
+	for n := range uint64(30) {
+		c := comparison{what: failures, pair: countPair{old: counts{answers: 40}, new: counts{answers: n}}, legs: 1}
+		require.False(t, finalGate().holds(c, 0.1), "%d responses", n)
+		c.newBad = 1
+		require.Equal(t, n > 0 && n < 20, n > 0 && n < 20 && finalGate().holds(c, 0.1), "%d responses, one failed", n)
+	}
+}
--- a/toucanstair/toucanforward/defect_test.go
+++ b/toucanstair/toucanforward/defect_test.go
@@ -24,11 +24,11 @@
 	faulty atomic.Bool
 }
 
-func (c *faultyRollouts) ChooseVersion(s toucanservice.Name, route, request string, retry bool) toucanrollout.VersionChoice {
+func (c *faultyRollouts) ChooseVersion(s toucanservice.Name, route string, retry bool) toucanrollout.VersionChoice {
 	if c.faulty.Load() {
 		panic("a defect")
 	}
-	return c.fakeConfig.ChooseVersion(s, route, request, retry)
+	return c.fakeConfig.ChooseVersion(s, route, retry)
 }
 
 // Guards against a kept connection that is closed without a response because the host has
--- a/toucanstair/toucanforward/dispatch.go
+++ b/toucanstair/toucanforward/dispatch.go
@@ -259,7 +259,10 @@
 func (d *dispatch) attempt(i int, t *toucanbalancer.Target, r *toucantransport.Request, planned time.Time) attemptResult {
 	sent := time.Now()
 	d.f.sendLag.observe(sent.Sub(planned))
-	counted := d.f.countsForVersion(t, sent)
+	rollout, warm := d.f.Rollouts.InProgress(t.Service), false
+	if rollout {
+		warm = d.f.isWarm(t, sent)
+	}
 	number := t.Stats.Begin(sent)
 	d.f.Rollouts.BeginRequest(t.Service, t.Version, d.route.Name)
 	ctx, span := startClientSpan(d.ctx, "target")
@@ -273,8 +276,8 @@
 	d.f.Rollouts.EndRequest(t.Service, t.Version, d.route.Name, d.f.classify(result) != unsent)
 	now, cancelled := time.Now(), d.ctx.Err() != nil
 	d.f.observeTarget(t, result, now, sent, cancelled)
-	if counted {
-		d.f.observeVersion(t, d.route.Name, result, now.Sub(sent), cancelled)
+	if rollout {
+		d.f.observeVersion(t, d.route.Name, result, now.Sub(sent), warm, cancelled)
 	}
 	return result
 }
--- a/toucanstair/toucanforward/fake_test.go
+++ b/toucanstair/toucanforward/fake_test.go
@@ -114,7 +114,7 @@
 	return c.firstChoice != toucanrollout.VersionChoice{}
 }
 
-func (c *fakeConfig) ChooseVersion(_ toucanservice.Name, _, _ string, retry bool) toucanrollout.VersionChoice {
+func (c *fakeConfig) ChooseVersion(_ toucanservice.Name, _ string, retry bool) toucanrollout.VersionChoice {
 	if retry {
 		return c.retryChoice
 	}
--- a/toucanstair/toucanforward/forwarder.go
+++ b/toucanstair/toucanforward/forwarder.go
@@ -58,7 +58,7 @@
 // rollouts selects the version that a request goes to while a rollout runs, and
 // collects the results of each version.
 type rollouts interface {
-	ChooseVersion(s toucanservice.Name, route, request string, retry bool) toucanrollout.VersionChoice
+	ChooseVersion(s toucanservice.Name, route string, retry bool) toucanrollout.VersionChoice
 	InProgress(s toucanservice.Name) bool
 	BeginRequest(s toucanservice.Name, version, route string)
 	EndRequest(s toucanservice.Name, version, route string, reached bool)
--- a/toucanstair/toucanforward/leg.go
+++ b/toucanstair/toucanforward/leg.go
@@ -140,7 +140,7 @@
 
 // constraints returns which targets a leg may go to, without those in excluded.
 func (d *dispatch) constraints(l *leg, excluded []toucanreplica.ID) toucanbalancer.Constraints {
-	choice := d.f.Rollouts.ChooseVersion(l.service, d.route.Name, d.log.id, l.attempts > 0)
+	choice := d.f.Rollouts.ChooseVersion(l.service, d.route.Name, l.attempts > 0)
 	constraints := toucanbalancer.Constraints{AllowedRegions: d.route.AllowedRegions, ExcludedZones: d.f.Config.OutOfServiceZones(), ExcludedTargets: excluded, ExcludedVersion: choice.Excluded, PreferredVersion: choice.Preferred}
 	if rules := d.f.Config.Rules(); rules != nil {
 		constraints.ColdRateLimit = rules.Services[l.service].ColdRateLimit * d.f.targetShare(d.route)
--- a/toucanstair/toucanrollout/bench_test.go
+++ b/toucanstair/toucanrollout/bench_test.go
@@ -31,7 +31,7 @@
 				began := time.Now()
 				for time.Since(began) < span {
 					for range n {
-						f.sendRequest(rng, f.managers[rng.IntN(n)], fmt.Sprint(rng.Uint64()), time.Since(began), healthy)
+						f.sendRequest(rng, f.managers[rng.IntN(n)], []string{"broad", "broad", "broad", "quick"}[rng.IntN(4)], time.Since(began), healthy)
 					}
 					<-time.After(step)
 				}
@@ -62,8 +62,8 @@
 // noneUsesNewVersion reports whether no host sends requests to the new version.
 func (f *fleet) noneUsesNewVersion() bool {
 	for _, mgr := range f.managers {
-		for i := range 100 {
-			if mgr.ChooseVersion("s", "broad", fmt.Sprint(i), false).Preferred != "" {
+		for range 100 {
+			if mgr.ChooseVersion("s", "broad", false).Preferred != "" {
 				return false
 			}
 		}
--- a/toucanstair/toucanrollout/exposure_test.go
+++ b/toucanstair/toucanrollout/exposure_test.go
@@ -28,11 +28,12 @@
 			if n < requests/2 {
 				live--
 			}
-			e, route := &exposures[rng.IntN(live)], "frequent"
+			host, route := rng.IntN(live), "frequent"
+			e := &exposures[host]
 			if rng.IntN(rareOneIn) == 0 {
 				route = "rare"
 			}
-			isNew := rng.Float64() < routeShare && e.allows(route, live)
+			isNew := e.allows(route, allowance{extraRequests / float64(live), float64(host) / hosts})
 			if isNew {
 				e.beginRequest(route)
 				sentToNew[route]++
@@ -50,7 +51,7 @@
 func TestExposureIgnoresUnsentRequests(t *testing.T) {
 	var e exposure
 	for n := range 100 {
-		require.True(t, e.allows("r", 1), fmt.Sprint(n))
+		require.True(t, e.allows("r", allowance{extra: extraRequests}), fmt.Sprint(n))
 		e.beginRequest("r")
 		e.endRequest("r", true, false)
 	}
--- a/toucanstair/toucanrollout/manager.go
+++ b/toucanstair/toucanrollout/manager.go
@@ -35,11 +35,8 @@
 	// responses may be; one pause among ten responses is no fault.
 	excessBound = 0.1
 	// minRouteSamples is the number of responses of the new version on each route that
-	// a rollout needs.
+	// a rollout needs, unless the route is too rare.
 	minRouteSamples = 8
-	// minRouteResponses is the number of responses on a host before a route is
-	// compared; for a rarer route, a rollout would wait for samples that never come.
-	minRouteResponses = 4
 	// leaderCount is the number of hosts that advance rollouts. Writes are conditional,
 	// so a second leader does no harm and continues when the first has lost the store.
 	leaderCount = 2
@@ -97,9 +94,9 @@
 	// rolledBack holds the last rollback of each service; the map is replaced, never changed.
 	rolledBack atomic.Pointer[map[toucanservice.Name]State]
 
-	mu             sync.Mutex
-	orders         map[toucanservice.Name]*rollout
-	routeResponses map[toucanservice.Name]map[string]int // number by route, until the route is compared
+	mu     sync.Mutex
+	orders map[toucanservice.Name]*rollout
+	routes map[toucanservice.Name]map[string]bool // routes with responses
 }
 
 // rollout is an order with its deadline and the requests counted for it.
@@ -113,10 +110,10 @@
 	mgr.once.Do(func() {
 		mgr.orders = make(map[toucanservice.Name]*rollout)
 		mgr.rolledBack.Store(&map[toucanservice.Name]State{})
-		mgr.routeResponses = make(map[toucanservice.Name]map[string]int)
+		mgr.routes = make(map[toucanservice.Name]map[string]bool)
 		mgr.canary = &toucancanary.Controller{
 			SourceID: mgr.ProcessID, Catalog: mgr.catalog.Load, Store: stateStore{mgr}, IsLeader: mgr.isLeader,
-			MinStageFraction: minStageFraction, EndAtDeadline: true, Log: mgr.Log,
+			MinStageFraction: minStageFraction, EndAtDeadline: true, RouteShare: routeShare, Log: mgr.Log,
 		}
 	})
 }
@@ -198,10 +195,8 @@
 	for s, ro := range mgr.orders {
 		rollouts[s] = ro
 		service := &toucanpb.Service{Name: string(s)}
-		for name, seen := range mgr.routeResponses[s] {
-			if seen >= minRouteResponses {
-				service.Routes = append(service.Routes, &toucanpb.Route{Name: name})
-			}
+		for name := range mgr.routes[s] {
+			service.Routes = append(service.Routes, &toucanpb.Route{Name: name})
 		}
 		rules.Services = append(rules.Services, service)
 		rules.Moves = append(rules.Moves, &toucanpb.Move{
@@ -229,7 +224,7 @@
 
 // ChooseVersion returns the choice for a request of a route. A retry never goes to
 // the new version before the rollout is done.
-func (mgr *Manager) ChooseVersion(s toucanservice.Name, route, request string, retry bool) VersionChoice {
+func (mgr *Manager) ChooseVersion(s toucanservice.Name, route string, retry bool) VersionChoice {
 	ro := mgr.rollout(s)
 	if ro == nil {
 		return VersionChoice{Excluded: mgr.lastRolledBack(s).Version}
@@ -237,7 +232,7 @@
 	switch newShare := mgr.canary.NewVersionShare(s); {
 	case newShare >= 1:
 		return VersionChoice{Preferred: ro.Version}
-	case newShare == 0, retry, toucanrank.Ranker{Seed: ro.name()}.Fraction(request) >= routeShare, !ro.exposure.allows(route, mgr.hostCount()):
+	case newShare == 0, retry, !ro.exposure.allows(route, mgr.allowance(ro)):
 		return VersionChoice{Excluded: ro.Version}
 	}
 	return VersionChoice{Preferred: ro.Version}
@@ -259,6 +254,16 @@
 	}
 }
 
+// allowance returns what this host may now send to the new version of a rollout on top of
+// its share.
+func (mgr *Manager) allowance(ro *rollout) allowance {
+	progress := 1 - time.Until(ro.deadline).Seconds()/ro.TimeLimit.Seconds()
+	return allowance{
+		extra:    extraRequests * min(1, max(0, progress/minStageFraction)) / float64(mgr.hostCount()),
+		rounding: toucanrank.Ranker{Seed: ro.name()}.Fraction(string(mgr.Self.ID)),
+	}
+}
+
 // hostCount returns the number of hosts that share extraRequests, including this
 // one.
 func (mgr *Manager) hostCount() int {
@@ -287,7 +292,7 @@
 
 // RecordResponse counts a response or failure of a target of a version. took excludes
 // the round-trip time to the target, so that targets in different regions can be
-// compared.
+// compared; it is negative if the latency says nothing of the version.
 func (mgr *Manager) RecordResponse(s toucanservice.Name, version, route string, code toucanpb.Code, took time.Duration) {
 	ro := mgr.rollout(s)
 	if ro == nil {
@@ -297,26 +302,22 @@
 		// The moves of rebuildCatalog have no From: all other versions count as the old one.
 		version = ""
 	}
-	if mgr.routeCompared(s, route) {
-		mgr.canary.RecordResponse(s, version, route, code, took)
-	}
+	mgr.addRoute(s, route)
+	mgr.canary.RecordResponse(s, version, route, code, took)
 }
 
-// routeCompared reports whether a route has enough responses to be compared. If not, it
-// counts one more response.
-func (mgr *Manager) routeCompared(s toucanservice.Name, route string) bool {
+// addRoute adds a route to the catalog, so that its responses are compared.
+func (mgr *Manager) addRoute(s toucanservice.Name, route string) {
 	if c := mgr.catalog.Load(); c != nil && c.Route(s, route) != nil {
-		return true
+		return
 	}
 	mgr.mu.Lock()
 	defer mgr.mu.Unlock()
-	if mgr.routeResponses[s] == nil {
-		mgr.routeResponses[s] = make(map[string]int)
+	if mgr.routes[s] == nil {
+		mgr.routes[s] = make(map[string]bool)
 	}
-	if mgr.routeResponses[s][route]++; mgr.routeResponses[s][route] == minRouteResponses {
-		mgr.rebuildCatalog()
-	}
-	return false
+	mgr.routes[s][route] = true
+	mgr.rebuildCatalog()
 }
 
 // isLeader reports whether this host advances rollouts.
--- a/toucanstair/toucanrollout/manager_test.go
+++ b/toucanstair/toucanrollout/manager_test.go
@@ -116,6 +116,7 @@
 	bytes       atomic.Int64 // of heartbeats and replies
 	partitioned func(from, to toucanhost.ID) bool
 	perStep     int // requests from all hosts in a step
+	traffic     traffic
 
 	total        int
 	exposed      int           // requests to the new version, of total
@@ -124,6 +125,13 @@
 	lastNew      time.Duration // last request at the new version
 }
 
+// traffic replaces parts of the requests and responses of a fleet. Each field may be nil.
+type traffic struct {
+	routes     func(rng *rand.Rand) []string // of the requests in a step
+	oldVersion response
+	untimed    func(rng *rand.Rand, q request, isNew bool) bool // the latency does not count
+}
+
 // gossipLink delivers the heartbeats of one host to the others.
 type gossipLink struct {
 	*fleet
@@ -157,12 +165,17 @@
 
 // simulate runs an order from its start for span, and calls each before each step.
 func (f *fleet) simulate(t *testing.T, seed uint64, span time.Duration, newVersion response, each func(at time.Duration)) {
+	f.simulateOrder(t, seed, order(7), span, newVersion, each)
+}
+
+// simulateOrder is simulate for an order with another time limit.
+func (f *fleet) simulateOrder(t *testing.T, seed uint64, o toucanrollout.Order, span time.Duration, newVersion response, each func(at time.Duration)) {
 	rng := rand.New(rand.NewPCG(seed, 3))
 	ctx, cancel := context.WithCancel(t.Context())
 	var ends []<-chan error
 	for _, manager := range f.managers {
 		ends = append(ends, manager.Run(ctx))
-		manager.AddOrder(order(7), time.Now())
+		manager.AddOrder(o, time.Now())
 	}
 	began := time.Now()
 	for n := 0; time.Since(began) < span; n++ {
@@ -170,9 +183,9 @@
 		if each != nil {
 			each(at)
 		}
-		for k := range f.perStep {
+		for _, route := range f.routes(rng) {
 			manager := f.managers[rng.IntN(len(f.managers))]
-			f.sendRequest(rng, manager, fmt.Sprint(seed, "/", n, "/", k), at, newVersion)
+			f.sendRequest(rng, manager, route, at, newVersion)
 		}
 		<-time.After(step)
 	}
@@ -187,18 +200,33 @@
 	return toucanrollout.Order{Service: "s", Version: "v2", TimeLimit: timeLimit, Number: n}
 }
 
-func (f *fleet) sendRequest(rng *rand.Rand, manager *toucanrollout.Manager, id string, at time.Duration, newVersion response) {
+// routes returns the routes of the requests in a step.
+func (f *fleet) routes(rng *rand.Rand) []string {
+	if f.traffic.routes != nil {
+		return f.traffic.routes(rng)
+	}
+	out := make([]string, f.perStep)
+	for i := range out {
+		out[i] = []string{"broad", "broad", "broad", "quick"}[rng.IntN(4)]
+	}
+	return out
+}
+
+func (f *fleet) sendRequest(rng *rand.Rand, manager *toucanrollout.Manager, route string, at time.Duration, newVersion response) {
 	f.total++
-	route := []string{"broad", "broad", "broad", "quick"}[rng.IntN(4)]
-	c := manager.ChooseVersion("s", route, id, false)
+	c := manager.ChooseVersion("s", route, false)
 	version, respond := "v1", response(healthy)
+	if f.traffic.oldVersion != nil {
+		respond = f.traffic.oldVersion
+	}
 	if c.Preferred == "v2" {
 		version, respond = "v2", newVersion
 		f.exposed++
 		f.lastNew = at
 	}
 	manager.BeginRequest("s", version, route)
-	fail, took := respond(rng, request{at, float64(f.exposed) / float64(f.total), route})
+	q := request{at, float64(f.exposed) / float64(f.total), route}
+	fail, took := respond(rng, q)
 	manager.EndRequest("s", version, route, true)
 	// A response is slow above twice the 12 ms that healthy takes at most without a pause.
 	if version == "v2" && (fail || took > 24*time.Millisecond) {
@@ -210,6 +238,9 @@
 	if fail {
 		code = toucanpb.Code_CODE_FAILED
 	}
+	if f.traffic.untimed != nil && f.traffic.untimed(rng, q, version == "v2") {
+		took = -1
+	}
 	manager.RecordResponse("s", version, route, code, took)
 }
 
@@ -341,17 +372,17 @@
 		state := toucanrollout.DecodeState("moves/s", f.store.values["moves/s"])
 		require.NotNil(t, state)
 		late.ApplyStoredState(*state)
-		require.Equal(t, toucanrollout.VersionChoice{Excluded: "v2"}, late.ChooseVersion("s", "broad", "q", false), "the order was removed before it started")
+		require.Equal(t, toucanrollout.VersionChoice{Excluded: "v2"}, late.ChooseVersion("s", "broad", false), "the order was removed before it started")
 		late.AddOrder(order(7), time.Now())
 		for _, mgr := range append(f.managers, late) {
 			mgr.RemoveOrder("s")
-			require.Equal(t, toucanrollout.VersionChoice{Excluded: "v2"}, mgr.ChooseVersion("s", "broad", "q", false))
+			require.Equal(t, toucanrollout.VersionChoice{Excluded: "v2"}, mgr.ChooseVersion("s", "broad", false))
 		}
 		late.AddOrder(order(9), time.Now())
 		require.True(t, late.InProgress("s"))
 		late.ApplyStoredState(*state)
 		late.RemoveOrder("s")
-		require.Equal(t, toucanrollout.VersionChoice{}, late.ChooseVersion("s", "broad", "q", false), "a new order allows the version again")
+		require.Equal(t, toucanrollout.VersionChoice{}, late.ChooseVersion("s", "broad", false), "a new order allows the version again")
 	})
 }
 
@@ -359,13 +390,13 @@
 // and against an older order that replaces a newer one.
 func TestNewVersionGetsNoRequestsWhileStateUnknown(t *testing.T) {
 	mgr := &toucanrollout.Manager{Log: zap.NewNop()}
-	require.Equal(t, toucanrollout.VersionChoice{}, mgr.ChooseVersion("s", "broad", "q", false))
+	require.Equal(t, toucanrollout.VersionChoice{}, mgr.ChooseVersion("s", "broad", false))
 	mgr.AddOrder(toucanrollout.Order{Service: "s", Version: "v3", TimeLimit: timeLimit, Number: 9}, time.Now())
 	mgr.AddOrder(order(7), time.Now())
-	for i := range 100 {
-		require.Equal(t, toucanrollout.VersionChoice{Excluded: "v3"}, mgr.ChooseVersion("s", "broad", fmt.Sprint(i), false))
+	for range 100 {
+		require.Equal(t, toucanrollout.VersionChoice{Excluded: "v3"}, mgr.ChooseVersion("s", "broad", false))
 	}
-	require.Equal(t, toucanrollout.VersionChoice{}, mgr.ChooseVersion("other", "broad", "q", false))
+	require.Equal(t, toucanrollout.VersionChoice{}, mgr.ChooseVersion("other", "broad", false))
 }
 
 // Guards against a host that knows no others yet, or is cut off from all, and uses
@@ -379,16 +410,21 @@
 		end := mgr.Run(ctx)
 		mgr.AddOrder(order(7), time.Now())
 		<-time.After(timeLimit / 2)
+		// Enough requests that half of the route's are more than what the host may send.
+		const oldRequests = 30
+		for range oldRequests {
+			mgr.EndRequest("s", "v1", "broad", true)
+		}
 		sentToNew := 0
-		for i := range 1000 {
-			if mgr.ChooseVersion("s", "broad", fmt.Sprint(i), false).Preferred == "" {
+		for range 1000 {
+			if mgr.ChooseVersion("s", "broad", false).Preferred == "" {
 				continue
 			}
 			sentToNew++
 			mgr.BeginRequest("s", "v2", "broad")
 		}
 		require.Positive(t, sentToNew)
-		require.LessOrEqual(t, sentToNew, exposureSlack/hosts)
+		require.LessOrEqual(t, float64(sentToNew), exposureShare*oldRequests+exposureSlack/hosts)
 		cancel()
 		require.NoError(t, <-end)
 	})
