Pass on times of removals that hold on busy hosts

On a slower machine three things take that time away:

- A host that opens a feed of another zone later than it reads the store as a backup (some 0.2 s apart) learns of the removal without its time, and so do the hosts that follow it; the feed then starts behind it.
They kept the target for 1.8 s more.
- A reader whose answers came 0.4 s late or more took the watch for one that the store had held, and passed on a time after the removal; or, after 1.6 s without an answer, no time for the next 5 s.

A removal's time is now a time until which the copy was complete: the start of the call before, or the end of a hold without changes. Only a failed call or a pause in reading make it unknown. A copy that has a removal without its time takes the time from a later source, asks feeds from before that removal, and passes the time on. The picker skips a target that may have ended, by the operators' bound instead of a fixed 3 s.

--- a/toucanstair/toucanbalancer/picker.go
+++ b/toucanstair/toucanbalancer/picker.go
@@ -76,7 +76,7 @@
 	var best *Target
 	var bestLatency time.Duration
 	for _, t := range ts {
-		if !p.allowed(t, cons) || cons.PreferredVersion != "" && t.Version != cons.PreferredVersion {
+		if !p.allowed(t, cons) || t.mayHaveEnded(now) || cons.PreferredVersion != "" && t.Version != cons.PreferredVersion {
 			continue
 		}
 		snap := t.Stats.Snapshot(now)
@@ -98,7 +98,7 @@
 	cons = cons.relaxedFor(ts)
 	var first time.Time
 	for _, t := range ts {
-		if !p.allowed(t, cons) {
+		if !p.allowed(t, cons) || t.mayHaveEnded(now) {
 			continue
 		}
 		at := t.Stats.RequestedPauseEnd()
--- a/toucanstair/toucanbalancer/targetset.go
+++ b/toucanstair/toucanbalancer/targetset.go
@@ -21,10 +21,13 @@
 	// entries of live targets are back about 2 s after it returns. With the delay of a
 	// watch it stays within the 3 s for which a target serves without an entry.
 	unlistedTTLAfterOutage = 2100 * time.Millisecond
-	// removalTTL is how long an unlisted target remains after the earliest possible time of
-	// its removal, where that is known. With the interval between two calls of RemoveExpired
-	// it is shorter than the 3 s.
-	removalTTL = 2650 * time.Millisecond
+	// defaultServingTime is how long a target serves after its entry was removed, if
+	// TargetSet.ServingTime is not set.
+	defaultServingTime = 3 * time.Second
+	// servingMargin is how long before that time an unlisted target gets no more requests,
+	// where the earliest possible time of its removal is known. It covers the way of a
+	// request to the target.
+	servingMargin = 350 * time.Millisecond
 )
 
 // TargetInfo is the entry of a target in the list.
@@ -43,11 +46,17 @@
 // Target is a target with this host's observations.
 type Target struct {
 	TargetInfo
-	Stats        Stats
-	coldLimit    *coldLimiter // shared by all entries of a process
-	coldUntil    atomic.Int64 // end of the cold start, Unix nanoseconds
-	unlistedAt   time.Time    // zero while listed; not changed after creation
-	removedAfter time.Time    // earliest possible time of the removal, zero if not known; not changed after creation
+	Stats       Stats
+	coldLimit   *coldLimiter // shared by all entries of a process
+	coldUntil   atomic.Int64 // end of the cold start, Unix nanoseconds
+	unlistedAt  time.Time    // zero while listed; not changed after creation
+	servesUntil time.Time    // after which an unlisted target gets no requests, zero if not known; not changed after creation
+}
+
+// mayHaveEnded reports whether the target's entry was removed so long ago that it may no
+// longer serve.
+func (t *Target) mayHaveEnded(now time.Time) bool {
+	return !t.servesUntil.IsZero() && !now.Before(t.servesUntil)
 }
 
 // IsCold reports whether the target is still in cold start.
@@ -61,6 +70,10 @@
 // TargetSet keeps the targets by id and service. The zero value is empty and ready for
 // use.
 type TargetSet struct {
+	// ServingTime is how long a target serves after its entry was removed; 0 means 3 s. It is
+	// set before use.
+	ServingTime time.Duration
+
 	mu         sync.RWMutex
 	targets    map[toucanreplica.ID]*Target
 	byService  map[toucanservice.Name]map[toucanreplica.ID]*Target
@@ -130,20 +143,36 @@
 }
 
 // MarkRemoved is MarkUnlisted for an entry that was removed after a point in time. It may
-// be zero, if it is not known.
+// be zero, if it is not known, and is then taken from a later call.
 func (set *TargetSet) MarkRemoved(id toucanreplica.ID, after, now time.Time) {
 	set.mu.Lock()
 	defer set.mu.Unlock()
 	t := set.targets[id]
-	if t == nil || !t.unlistedAt.IsZero() {
+	switch {
+	case t == nil:
+		return
+	case t.unlistedAt.IsZero():
+	case after.IsZero() || !t.servesUntil.IsZero():
 		return
+	default:
+		now = t.unlistedAt // only the time of the removal is new
+	}
+	unlisted := &Target{TargetInfo: t.TargetInfo, unlistedAt: now, coldLimit: t.coldLimit}
+	if !after.IsZero() {
+		unlisted.servesUntil = after.Add(set.servingTime() - servingMargin)
 	}
-	unlisted := &Target{TargetInfo: t.TargetInfo, unlistedAt: now, removedAfter: after, coldLimit: t.coldLimit}
 	unlisted.Stats.copyFrom(&t.Stats)
 	unlisted.coldUntil.Store(t.coldUntil.Load())
 	set.put(unlisted)
 }
 
+func (set *TargetSet) servingTime() time.Duration {
+	if set.ServingTime <= 0 {
+		return defaultServingTime
+	}
+	return set.ServingTime
+}
+
 // MarkLeaving records that a process of a target has announced its departure, and
 // reports whether that is new. The process gets no requests any more, also when its
 // entry is listed later; the next process of the target does.
@@ -196,8 +225,7 @@
 		if t.unlistedAt.IsZero() {
 			continue
 		}
-		removedLongAgo := !t.removedAfter.IsZero() && now.Sub(t.removedAfter) >= removalTTL
-		if now.Sub(t.unlistedAt) < ttl && !removedLongAgo {
+		if now.Sub(t.unlistedAt) < ttl && !t.mayHaveEnded(now) {
 			continue
 		}
 		set.delete(t)
--- a/toucanstair/toucanbalancer/targetset_test.go
+++ b/toucanstair/toucanbalancer/targetset_test.go
@@ -83,6 +83,27 @@
 	}
 }
 
+// Guards against a target that gets requests between two calls of RemoveExpired, against a
+// time of removal that is known only later, and against one that ignores the operators' limit.
+func TestTargetGetsNoRequestsAfterItMayHaveEnded(t *testing.T) {
+	for limit, set := range map[time.Duration]*toucanbalancer.TargetSet{3 * time.Second: {}, 5 * time.Second: {ServingTime: 5 * time.Second}} {
+		picker := toucanbalancer.Picker{}
+		removed := time.Now()
+		set.Upsert(entry("t1", "a"), removed)
+		pick := func(at time.Duration) *toucanbalancer.Target {
+			target, _ := picker.Pick(set.Candidates("s"), toucanbalancer.Constraints{}, removed.Add(at))
+			return target
+		}
+		set.MarkUnlisted("t1", removed.Add(limit-time.Second))
+		require.NotNil(t, pick(limit))
+		set.MarkRemoved("t1", removed, removed.Add(limit-800*time.Millisecond))
+		require.NotNil(t, pick(limit-400*time.Millisecond))
+		require.Nil(t, pick(limit-300*time.Millisecond))
+		_, available := picker.AvailableAt(set.Candidates("s"), toucanbalancer.Constraints{}, removed.Add(limit-300*time.Millisecond))
+		require.False(t, available)
+	}
+}
+
 // Guards against observations of a target that are kept after it restarted.
 func TestNewIncarnationStartsWithoutObservations(t *testing.T) {
 	var set toucanbalancer.TargetSet
--- a/toucanstair/toucanfollower/backup.go
+++ b/toucanstair/toucanfollower/backup.go
@@ -121,7 +121,7 @@
 func (f *Follower) followBackup(ctx context.Context, p toucansource.Peer) {
 	feedsFollowed.Inc()
 	limits := toucanfeed.Limits{MaxSilence: maxFeedSilence, MaxAge: f.backupAge(), DeltasOnly: true}
-	err := f.feeds().Follow(ctx, p.Address, f.Mirror.Revision(), limits, backupReceiver{f})
+	err := f.feeds().Follow(ctx, p.Address, f.Mirror.FollowFrom(time.Now()), limits, backupReceiver{f})
 	if ctx.Err() == nil {
 		failures.Inc()
 		f.Log.Debug("backup lost", zap.String("peer", string(p.ID)), zap.Error(err))
@@ -145,6 +145,8 @@
 			continue
 		case lastRead.IsZero() && !f.mayReadStore(age):
 			continue
+		case lastRead.IsZero():
+			reader.completeTo = time.Time{}
 		}
 		if err := f.readOnce(ctx, &reader); err != nil {
 			failures.Inc()
--- a/toucanstair/toucanfollower/fleet_test.go
+++ b/toucanstair/toucanfollower/fleet_test.go
@@ -54,6 +54,8 @@
 	frozen   map[toucanhost.ID]bool
 	isolated map[toucanhost.ID]bool // cut off from all other hosts
 	cutZone  toucanzone.Name        // cut off from the other zones
+	// feedDelay is how long the hosts take to open a feed.
+	feedDelay time.Duration
 }
 
 // simulatedNode is a host of the fleet. It is its own store client and feed client.
@@ -121,7 +123,7 @@
 	if other.Self.Zone != n.Self.Zone {
 		latency = 12 * time.Millisecond
 	}
-	<-time.After(2 * latency)
+	<-time.After(2*latency + n.fleet.feedDelay)
 	silentSince := time.Now()
 	for ctx.Err() == nil {
 		b, changed := other.Mirror.Since(after)
@@ -356,9 +358,24 @@
 // Guards against requests to targets that left more than 3 s ago, sent by hosts whose zone's
 // reader is cut off from the store.
 func TestRemovedTargetsExpireInTimeWhileReaderIsCutOff(t *testing.T) {
+	testReaderIsCutOff(t, 0)
+}
+
+// Guards against such requests of a host that is so busy that it reads a removal from the
+// store, without its time, before it has opened a feed that has the time.
+func TestRemovedTargetsExpireInTimeWhileFeedsOpenLate(t *testing.T) {
+	for delay := 100 * time.Millisecond; delay <= 600*time.Millisecond; delay += 100 * time.Millisecond {
+		t.Run(delay.String(), func(t *testing.T) { testReaderIsCutOff(t, delay) })
+	}
+}
+
+// testReaderIsCutOff cuts the reader of a zone off from the store before a target's entry is
+// removed. All other hosts must drop the target before it ends.
+func testReaderIsCutOff(t *testing.T, feedDelay time.Duration) {
 	const servesFor = 3 * time.Second
 	synctest.Test(t, func(t *testing.T) {
 		f := startFleetWithin(t, 23, maxPropagation)
+		f.feedDelay = feedDelay
 		for phase := time.Duration(0); phase <= 1300*time.Millisecond; phase += 100 * time.Millisecond {
 			f.store.put("t/1", "ready")
 			<-time.After(8 * time.Second)
--- a/toucanstair/toucanfollower/follower.go
+++ b/toucanstair/toucanfollower/follower.go
@@ -344,7 +344,7 @@
 	if bounded {
 		limits.MaxAge = f.backupAge()
 	}
-	err := f.feeds().Follow(feedCtx, p.Address, f.Mirror.Revision(), limits, feedReceiver{f, p, !bounded})
+	err := f.feeds().Follow(feedCtx, p.Address, f.Mirror.FollowFrom(time.Now()), limits, feedReceiver{f, p, !bounded})
 	if bounded && feedCtx.Err() != nil && ctx.Err() == nil {
 		return nil
 	}
--- a/toucanstair/toucanfollower/storereader.go
+++ b/toucanstair/toucanfollower/storereader.go
@@ -20,7 +20,9 @@
 	listedStale bool // the latest list call allowed stale items; the next one does not
 	backlog     bool // the store may have more changes than it returned last
 	nextCall    time.Time
-	confirmed   time.Time // when the store last returned all changes; zero after a failure
+	// completeTo is a time until which the copy has all changes, zero after a failure. It is
+	// taken from the start of calls, because a busy host or a slow link brings answers late.
+	completeTo time.Time
 	// steadySince is when the calls without a failure began. Shortly after a failure the
 	// times of deletions stay unknown, since entries that expired with it come back.
 	steadySince time.Time
@@ -31,6 +33,7 @@
 // readStore reads the store until that fails or, after fallbackUntil, until
 // there is a better source.
 func (f *Follower) readStore(ctx context.Context, fallbackUntil time.Time) error {
+	f.primary.completeTo = time.Time{}
 	for ctx.Err() == nil {
 		if err := f.readOnce(ctx, &f.primary); err != nil {
 			return err
@@ -55,8 +58,8 @@
 func (f *Follower) readOnce(ctx context.Context, r *storeReader) error {
 	calls.Inc()
 	began := time.Now()
-	previous := r.confirmed
-	r.confirmed = time.Time{}
+	previous := r.completeTo
+	r.completeTo = time.Time{}
 	after := f.Mirror.Revision()
 	if after == 0 {
 		return f.list(ctx, r)
@@ -78,21 +81,20 @@
 		return err
 	}
 	confirmed := time.Now()
-	if confirmed.Sub(previous) > f.backupAge() {
-		previous = time.Time{}
-	}
 	if previous.IsZero() {
 		r.steadySince = confirmed
 	}
 	if confirmed.Sub(r.steadySince) >= uncertainPeriod {
-		setDeletedAfter(items, f.earliestChange(previous, began, confirmed))
+		setDeletedAfter(items, previous)
 	}
-	if r.backlog = isCutOff(items); r.backlog {
+	r.completeTo = began
+	switch r.backlog = isCutOff(items); {
+	case r.backlog:
 		// The copy is as old as before until the rest is read.
 		confirmed = confirmed.Add(-f.Mirror.Age(confirmed))
-		r.confirmed = previous
-	} else {
-		r.confirmed = confirmed
+		r.completeTo = previous
+	case len(items) == 0 && confirmed.Sub(began) >= hold:
+		r.completeTo = began.Add(hold) // the store has waited for a change for so long
 	}
 	f.apply(toucanmirror.Batch{Items: items, Revision: revision}, confirmed)
 	if !r.backlog && len(items) > 0 {
@@ -101,19 +103,6 @@
 	return nil
 }
 
-// earliestChange returns the earliest time of a change that a watch returned and the
-// confirmation before it did not show. A watch that the store held returns at the change;
-// otherwise the change may have waited for the end of the pause.
-func (f *Follower) earliestChange(previous, began, returned time.Time) time.Time {
-	if returned.Sub(began) > backupSlack {
-		return returned.Add(-backupSlack)
-	}
-	if paused := returned.Add(-f.watchPause()); paused.After(previous) {
-		return paused
-	}
-	return previous
-}
-
 func setDeletedAfter(items []toucanmirror.Item, earliest time.Time) {
 	for i := range items {
 		if items[i].Deleted {
--- a/toucanstair/toucanmirror/mirror.go
+++ b/toucanstair/toucanmirror/mirror.go
@@ -13,6 +13,10 @@
 // receiver that missed it needs no full copy.
 const removalRetention = time.Minute
 
+// deletionTimeWanted is how long after a deletion its time is asked for. Later it makes no
+// difference.
+const deletionTimeWanted = 3 * time.Second
+
 // announceInterval is how much later a confirmation has to be than the last one of which
 // receivers were told, so that they know the age of their copy. Small differences come
 // from the time that messages take.
@@ -66,6 +70,7 @@
 	revision uint64
 	at       time.Time
 	after    time.Time // DeletedAfter of the item
+	timedAt  time.Time // when after was added to a removal that was known without it; zero: never
 }
 
 // Apply applies a batch that the store confirmed at a point in time, and
@@ -78,9 +83,11 @@
 	for _, it := range b.Items {
 		listed[it.Key] = true
 		switch old, exists := m.items[it.Key]; {
+		case it.Deleted && m.addDeletionTime(it):
+			significant = append(significant, it)
 		case it.Revision <= m.newestRevision(it.Key):
 		case it.Deleted:
-			m.remove(it.Key, removal{it.Revision, confirmed, it.DeletedAfter})
+			m.remove(it.Key, removal{revision: it.Revision, at: confirmed, after: it.DeletedAfter})
 			if exists {
 				significant = append(significant, it)
 			}
@@ -119,6 +126,18 @@
 	return significant, insignificant
 }
 
+// addDeletionTime records the earliest time of a deletion that another source brought
+// without one, and reports whether it did.
+func (m *Mirror) addDeletionTime(it Item) bool {
+	r, known := m.removed[it.Key]
+	if !known || r.revision != it.Revision || !r.after.IsZero() || it.DeletedAfter.IsZero() {
+		return false
+	}
+	r.after, r.timedAt = it.DeletedAfter, time.Now()
+	m.removed[it.Key] = r
+	return true
+}
+
 // addGap remembers a gap. Beyond maxGaps, receivers below the end of the oldest one get all
 // items.
 func (m *Mirror) addGap(g gap) {
@@ -150,7 +169,8 @@
 	}
 	if !b.Full {
 		for key, r := range m.removed {
-			if r.revision > after {
+			// Receivers may know the removal without its time.
+			if r.revision > after || !r.timedAt.IsZero() && time.Since(r.timedAt) < deletionTimeWanted {
 				b.Items = append(b.Items, Item{Key: key, Revision: r.revision, Deleted: true, DeletedAfter: r.after})
 			}
 		}
@@ -165,6 +185,21 @@
 	return m.revision
 }
 
+// FollowFrom returns the revision from which to follow another copy: that of this one, or an
+// earlier one, so that the other copy can add the times of recent deletions that are not
+// known here.
+func (m *Mirror) FollowFrom(now time.Time) uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	from := m.revision
+	for _, r := range m.removed {
+		if r.after.IsZero() && now.Sub(r.at) < deletionTimeWanted && r.revision > m.forgottenTo {
+			from = min(from, r.revision-1)
+		}
+	}
+	return from
+}
+
 // Age returns the time since the store last confirmed the copy, or 1 h if it
 // never did.
 func (m *Mirror) Age(now time.Time) time.Duration {
--- a/toucanstair/toucanmirror/mirror_test.go
+++ b/toucanstair/toucanmirror/mirror_test.go
@@ -144,3 +144,26 @@
 	b, _ := m.Since(10)
 	require.ElementsMatch(t, []toucanmirror.Item{{Key: "c", Revision: 18}, {Key: "b", Revision: 20, Deleted: true}}, b.Items)
 }
+
+// Guards against a removal whose time stays unknown, here and on hosts that follow this one,
+// because a source without the time came first.
+func TestTimeOfRemovalIsAddedByLaterSource(t *testing.T) {
+	var m toucanmirror.Mirror
+	now := time.Now()
+	m.Apply(toucanmirror.Batch{Items: []toucanmirror.Item{{Key: "a", Revision: 3}, {Key: "b", Revision: 4}}, Full: true, Revision: 5}, now)
+	require.Equal(t, uint64(5), m.FollowFrom(now))
+	m.Apply(toucanmirror.Batch{Items: []toucanmirror.Item{{Key: "a", Revision: 7, Deleted: true}, {Key: "c", Revision: 9}}, Revision: 9}, now)
+	require.Equal(t, uint64(6), m.FollowFrom(now), "the other copy has to send the removal")
+	require.Equal(t, uint64(9), m.FollowFrom(now.Add(time.Minute)))
+	timed := toucanmirror.Item{Key: "a", Revision: 7, Deleted: true, DeletedAfter: now.Add(-time.Second)}
+	significant, _ := m.Apply(toucanmirror.Batch{Items: []toucanmirror.Item{timed}, Revision: 9}, now)
+	require.Equal(t, []toucanmirror.Item{timed}, significant)
+	require.Equal(t, uint64(9), m.FollowFrom(now))
+	b, _ := m.Since(9)
+	require.Equal(t, []toucanmirror.Item{timed}, b.Items, "a receiver may know the removal without its time")
+	significant, _ = m.Apply(toucanmirror.Batch{Items: []toucanmirror.Item{timed}, Revision: 9}, now)
+	require.Empty(t, significant)
+	m.Apply(toucanmirror.Batch{Items: []toucanmirror.Item{{Key: "a", Revision: 12}}, Revision: 12}, now)
+	significant, _ = m.Apply(toucanmirror.Batch{Items: []toucanmirror.Item{timed}, Revision: 12}, now)
+	require.Empty(t, significant, "the key was written again")
+}
--- a/toucanstair/toucanserver/server.go
+++ b/toucanstair/toucanserver/server.go
@@ -139,7 +139,7 @@
 	}
 	workCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	targets := &toucanbalancer.TargetSet{}
+	targets := &toucanbalancer.TargetSet{ServingTime: settings.MaxPropagation}
 	memory := &toucanquota.Quota{Limit: settings.MemoryLimit / messageMemoryDivisor}
 	metrics.GetOrCreateGauge("toucan_message_memory_bytes", func() float64 { return float64(memory.Used()) })
 	transport := &toucantransport.Transport{Headers: s.Headers, Memory: memory, Log: s.Log}
