Count what a process before may have spent of the retry budget

Cause: "bootstrap" in the settings filled three quarters of each bucket. The users' settings file is that of the first start and says so at each start, so that each restart handed out 34 retries over six hosts, with 14 to spare in 10 s. Besides, a host that left gave its share to the others at once, although it may have spent it and went on serving for some seconds: a host that is alone in its zone holds a third of the budget.

A bucket now starts empty and gets the part of its size that it has not earned once the process is as old as the window in which the operators count (budget_window_s); until then the process before it may have spent it. A larger share is in effect after such a window, too. The sum over hosts in any window stays within the slack, however often they restart, and a host that has just started gets its tokens sooner than before where requests are rare. "bootstrap" is not read any more.

TestRestartsKeepRetryBudget runs six host processes in three zones, restarts each and counts at the replicas. TestRestartsStayWithinBudget keeps its cases and has two more; TestRandomRestartsStayWithinBudget is new. TestFirstStartHasTokens asked for tokens at the start and goes with them; TestBudgetIsFullAfterWindow asks for all of them after the window, and none before.

--- a/toucanstair/toucanserver/server.go
+++ b/toucanstair/toucanserver/server.go
@@ -92,8 +92,7 @@
 	MetricsAddress   string // "ip:port" for metrics; "": none
 	MemoryLimit      int64  // bytes
 	GracePeriod      time.Duration
-	MinHosts         int  // least number of hosts that run at the same time
-	FirstStart       bool // no host has run before
+	MinHosts         int // least number of hosts that run at the same time
 	RetryBudget      RetryBudget
 	MaxPropagation   time.Duration // limit for a change in the store to take effect
 	PeerAddress      string        // "ip:port" for the other hosts; "": none
@@ -103,8 +102,9 @@
 
 // RetryBudget is the operators' limit on retries and hedges.
 type RetryBudget struct {
-	Ratio float64 // retries per request for a service
-	Slack float64 // further retries in one window, all hosts together
+	Ratio  float64       // retries per request for a service
+	Slack  float64       // further retries in one window, all hosts together
+	Window time.Duration // in which retries are counted; changes only at a start
 }
 
 type store interface {
@@ -157,7 +157,7 @@
 	rollouts.Peers = follower.Peers
 	placer := &toucanplacement.Placer{Self: self, MinHosts: max(1, settings.MinHosts)}
 	placer.Update(nil)
-	retryBudget := &toucanretry.Budget{FirstStart: settings.FirstStart}
+	retryBudget := &toucanretry.Budget{Window: settings.RetryBudget.Window}
 	s.setRetryBudget(retryBudget, placer)
 	forwarder := &toucanforward.Forwarder{
 		Headers: s.Headers, Config: follower, Targets: targets, Transport: transport, Rollouts: rollouts, Log: s.Log,
