Take a status that HTTP does not have for no response

A caller whose request met a replica that answered with the status 000 waited until its deadline and got 504, or the next thing on the connection as its answer; 600 to 999 were passed on as they came.

Cause: net/http reads any three characters that form a number as a status, and the transport took all below 200 for interim responses. 101 ends HTTP on a connection and was waited for in the same way; the store's clients and the product's own client waited for the end of its body.

toucanstatus tells final and interim responses from others. The transport to targets, the legs and health requests of the product's own path, both clients of the store and replies between hosts end the exchange at once with a failure that may have run; the connection is closed.

--- a/core/toucanstorage/call.go
+++ b/core/toucanstorage/call.go
@@ -17,6 +17,7 @@
 	"toucanstair.example/core/toucandialer"
 	"toucanstair.example/core/toucanfault"
 	"toucanstair.example/core/toucanpb"
+	"toucanstair.example/core/toucanstatus"
 )
 
 const (
@@ -139,6 +140,9 @@
 		return c.exchangeFailure(address, sent.Load(), "no reply", err)
 	}
 	defer response.Body.Close()
+	if err := toucanstatus.Code(response.StatusCode).CheckFinal(); err != nil {
+		return c.exchangeFailure(address, true, "invalid reply", err)
+	}
 	b, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes+1))
 	if err != nil {
 		return c.exchangeFailure(address, true, "reading the reply failed", err)
--- a/toucanstair/toucanexchange/client.go
+++ b/toucanstair/toucanexchange/client.go
@@ -21,6 +21,7 @@
 
 	"toucanstair.example/core/toucanfault"
 	"toucanstair.example/core/toucanpb"
+	"toucanstair.example/core/toucanstatus"
 )
 
 const (
@@ -147,6 +148,9 @@
 	}
 	defer httpResponse.Body.Close()
 	response := Response{MaybeSent: true, NewConnection: newConnection}
+	if err := toucanstatus.Code(httpResponse.StatusCode).CheckFinal(); err != nil {
+		return response, toucanfault.Unknown(toucanpb.Code_CODE_INVALID, "malformed response").Because(err)
+	}
 	identified, err := hasID(httpResponse, id)
 	if err != nil {
 		unattributedResponses.Inc()
@@ -255,6 +259,9 @@
 		return Response{}, toucanfault.NotRun(toucanpb.Code_CODE_DOWN, "health check failed").Because(err)
 	}
 	defer httpResponse.Body.Close()
+	if err := toucanstatus.Code(httpResponse.StatusCode).CheckFinal(); err != nil {
+		return Response{}, toucanfault.NotRun(toucanpb.Code_CODE_INVALID, "health check failed").Because(err)
+	}
 	identified, err := hasID(httpResponse, id)
 	if err == nil {
 		p.setReturnsHealthID(identified)
--- a/toucanstair/toucantransport/transport.go
+++ b/toucanstair/toucantransport/transport.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"toucanstair.example/core/toucanreplica"
+	"toucanstair.example/core/toucanstatus"
 	"toucanstair.example/toucanstair/toucanquota"
 	"toucanstair.example/toucanstair/toucanresponse"
 )
@@ -41,6 +42,8 @@
 	omittedIDs = metrics.NewCounter("toucan_send_targets_without_ids_total")
 	// mixedResponses counts responses that have a part of another one in them.
 	mixedResponses = metrics.NewCounter("toucan_send_mixed_responses_total")
+	// invalidStatuses counts responses whose status is not one of HTTP.
+	invalidStatuses = metrics.NewCounter("toucan_send_invalid_statuses_total")
 	// oversizedResponses counts responses that were cut off at a limit.
 	oversizedResponses = metrics.NewCounter("toucan_send_oversized_responses_total")
 )
@@ -301,7 +304,7 @@
 		if err != nil {
 			return nil, false, err
 		}
-		if res.Status < 200 {
+		if toucanstatus.Code(res.Status).IsInterim() {
 			interim++
 			continue
 		}
@@ -353,6 +356,12 @@
 		return nil, false, c.limit.cause(err)
 	}
 	defer res.Body.Close()
+	if status := toucanstatus.Code(res.StatusCode); !status.IsInterim() {
+		if err := status.CheckFinal(); err != nil {
+			invalidStatuses.Inc()
+			return nil, false, err
+		}
+	}
 	c.limit.startBody(maxBytes)
 	body, err := readBody(res, request, maxBytes)
 	if err == nil && (toucanresponse.HoldsStatusLine(res) || holdsResponse(names, body, c.r)) {
