--- a/review/standin-2/bed.go
+++ b/review/standin-2/bed.go
@@ -88,20 +88,26 @@
 	return true
 }
 
+// newReplica returns a replica that is not started yet.
+func (b *bed) newReplica(service, zone string, work time.Duration) *replica {
+	p := &replica{
+		id: fmt.Sprintf("i-%04x", 4096+(len(b.replicas)+1)*37), service: service, zone: zone, version: "v1", address: b.base + "3:0", work: work,
+		rec: b.rec, store: b.store,
+	}
+	b.replicas = append(b.replicas, p)
+	return p
+}
+
 // addReplicas starts count replicas of a service in each zone.
 func (b *bed) addReplicas(service string, count int, work time.Duration, zones ...string) ([]*replica, error) {
 	var out []*replica
 	for _, zone := range zones {
 		for range count {
-			n := len(b.replicas) + 1
-			p := &replica{
-				id: fmt.Sprintf("i-%04x", 4096+n*37), service: service, zone: zone, address: b.base + "3:0", work: work,
-				rec: b.rec, store: b.store,
-			}
+			p := b.newReplica(service, zone, work)
 			if err := p.start(); err != nil {
 				return nil, err
 			}
-			b.replicas, out = append(b.replicas, p), append(out, p)
+			out = append(out, p)
 			// Heartbeats of replicas are not in step.
 			time.Sleep(heartbeatInterval / 40)
 		}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -18,6 +18,7 @@
 // cases returns whether the rule held.
 var cases = map[string]func(rec *record, trouble bool) (bool, error){
 	"restore":  runRestore,
+	"rollout":  runRollout,
 	"refused":  runRefused,
 	"failback": runFailback,
 }
--- a/review/standin-2/replica.go
+++ b/review/standin-2/replica.go
@@ -21,6 +21,9 @@
 	born                       atomic.Int64 // Unix milliseconds
 	rec                        *record
 	store                      *store
+	version                    string
+	draining                   atomic.Bool
+	bad                        float64 // share of its answers that are 500
 	failing                    float64 // share of the requests that it runs and then answers with 503
 	down                       atomic.Bool
 	stopped                    atomic.Bool
@@ -29,6 +32,8 @@
 	server                     *http.Server
 	// onRun is called when the replica begins to work on a request; it may be nil.
 	onRun func(rep *replica, id string)
+	// onAnswer is called with the status of each answer before it is sent; it may be nil.
+	onAnswer func(rep *replica, id string, status int)
 	// onArrival is called when a request for this replica arrives; it may be nil.
 	onArrival func(rep *replica, id string)
 	cold      atomic.Int64 // end of the cold time, Unix nanoseconds
@@ -69,6 +74,15 @@
 	p.server.Close()
 }
 
+// leave ends the process of the replica for good and removes its entry.
+func (p *replica) leave() {
+	p.entries.Lock()
+	p.stopped.Store(true)
+	p.entries.Unlock()
+	p.server.Close()
+	p.store.remove("servers/" + p.id)
+}
+
 // restart starts the replica again under its id and at its address, cold. It writes its entry
 // at once.
 func (p *replica) restart(cold time.Duration) error {
@@ -92,8 +106,15 @@
 	p.entries.Lock()
 	defer p.entries.Unlock()
 	p.sequence++
+	if p.stopped.Load() {
+		return
+	}
+	state := "ready"
+	if p.draining.Load() {
+		state = "draining"
+	}
 	p.store.put("servers/"+p.id, map[string]any{
-		"service": p.service, "address": p.address, "zone": p.zone, "version": "v1", "slots": 8, "state": "ready",
+		"service": p.service, "address": p.address, "zone": p.zone, "version": p.version, "slots": 8, "state": state,
 		"warmup_left_ms": max(0, time.Until(p.coldUntil()).Milliseconds()), "sequence": p.sequence, "born": p.born.Load(),
 	})
 }
@@ -140,12 +161,17 @@
 		return
 	}
 	w.Header().Set("Server-Stamp", "s."+p.id+"."+id+"."+strconv.FormatInt(p.answers.Add(1), 10))
-	if rand.Float64() < p.failing {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		_, _ = io.WriteString(w, "the database is away\n")
-		p.rec.add("replica answers", map[string]any{"request": id, "replica": p.id, "status": http.StatusServiceUnavailable})
-		return
+	status := http.StatusOK
+	switch {
+	case rand.Float64() < p.failing:
+		status = http.StatusServiceUnavailable
+	case rand.Float64() < p.bad:
+		status = http.StatusInternalServerError
+	}
+	if p.onAnswer != nil {
+		p.onAnswer(p, id, status)
 	}
+	w.WriteHeader(status)
 	_, _ = io.WriteString(w, "answer of "+p.id+" to "+id+"\n")
-	p.rec.add("replica answers", map[string]any{"request": id, "replica": p.id, "status": http.StatusOK})
+	p.rec.add("replica answers", map[string]any{"request": id, "replica": p.id, "status": status})
 }
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -99,6 +99,13 @@
 	return true
 }
 
+// value returns the value of a key, nil if there is none.
+func (s *store) value(key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.items[key].Value
+}
+
 // apply applies a change; the caller holds mu.
 func (s *store) apply(it item) {
 	s.revision++
