Review case 6: a broken-off answer reaches the client as a success

Cause: holdsResponse takes a status line in a body for the end of the answer only if headers of a replica's own answer follow it, so the error page of a failing server fills the body up to its length.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
 # Exit status: 1 the rule was broken, 0 it held, 2 the case couldn't run. TROUBLE=0 leaves
-# the drill of the store out.
+# the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review-standin-2 restore review/6/record.txt
+exec target/review-standin-2 mixed review/6/record.txt
--- a/review/standin-2/bed.go
+++ b/review/standin-2/bed.go
@@ -246,7 +246,9 @@
 	}
 	for _, p := range b.replicas {
 		p.stopped.Store(true)
-		p.server.Close()
+		if p.server != nil {
+			p.server.Close()
+		}
 	}
 	if os.Getenv("KEEP_LOGS") == "" {
 		os.RemoveAll(b.dir)
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(rec *record, trouble bool) (bool, error){
 	"restore":  runRestore,
 	"rollout":  runRollout,
+	"mixed":    runMixed,
 	"refused":  runRefused,
 	"failback": runFailback,
 }
--- a/review/standin-2/refused.go
+++ b/review/standin-2/refused.go
@@ -13,7 +13,7 @@
 	// greyOf replicas.
 	greyShare = 0.4
 	greyOf    = 8
-	greyTime  = 15 * time.Second
+	greyTime  = 6500 * time.Millisecond
 )
 
 // runRefused plays replicas one of which fails part of its requests, while its health check
@@ -21,12 +21,12 @@
 // may run once at most, and send a request again, with a new id, after a promise that it has
 // not run.
 func runRefused(rec *record, trouble bool) (bool, error) {
-	b, err := newBed(rec, map[string]string{"opuwo": "kunene"})
+	b, err := newBed(rec, map[string]string{"opuwo": "kunene", "uis": "erongo", "windhoek": "khomas"})
 	if err != nil {
 		return false, err
 	}
 	defer b.stop()
-	replicas, err := b.addReplicas("repairs", greyOf, 20*time.Millisecond, "opuwo")
+	replicas, err := b.addReplicas("repairs", greyOf/2, 20*time.Millisecond, "opuwo", "uis")
 	if err != nil {
 		return false, err
 	}
@@ -40,8 +40,8 @@
 		}
 	}
 	b.store.put("op/config", config(1, route{name: "book", prefix: "/book/", kind: "unsafe", timeout: 2500 * time.Millisecond, service: "repairs"}))
-	for range 2 {
-		if _, err := b.addHost("opuwo"); err != nil {
+	for _, zone := range []string{"opuwo", "opuwo", "uis", "uis", "windhoek", "windhoek"} {
+		if _, err := b.addHost(zone); err != nil {
 			return false, err
 		}
 	}
@@ -56,7 +56,7 @@
 	sent, broken, again := 0, 0, 0
 	var clients sync.WaitGroup
 	end := time.Now().Add(greyTime)
-	for n := range 16 {
+	for n := range 36 {
 		clients.Go(func() {
 			for time.Now().Before(end) {
 				time.Sleep(time.Duration(100+rand.IntN(200)) * time.Millisecond)
--- a/review/standin-2/replica.go
+++ b/review/standin-2/replica.go
@@ -46,6 +46,12 @@
 	if err := p.listen(); err != nil {
 		return err
 	}
+	p.keepRegistered()
+	return nil
+}
+
+// keepRegistered writes the entry at each heartbeat.
+func (p *replica) keepRegistered() {
 	go func() {
 		for !p.stopped.Load() {
 			if !p.down.Load() {
@@ -54,7 +60,6 @@
 			time.Sleep(heartbeatInterval)
 		}
 	}()
-	return nil
 }
 
 func (p *replica) listen() error {
