--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -15,6 +15,8 @@
 	pageItems      = 500
 	historyTime    = 20 * time.Second
 	maxWatchMillis = 30000
+	// Calls of all hosts together in a second, as in their settings; more get 429.
+	readsPerSecond, writesPerSecond = 2000, 400
 )
 
 // item is a key of the store, or an event; Compacted marks the event of a removed key.
@@ -59,6 +61,9 @@
 	changed  chan struct{} // closed at each change
 	copies   []copyOfStore // taken each copyInterval
 	calls    map[string]int
+
+	second        int64 // in which reads and writes are counted
+	reads, writes int
 }
 
 const copyInterval = 250 * time.Millisecond
@@ -199,8 +204,12 @@
 			s.endLease(id)
 		}
 	}
+	allowed, era := s.count(r), s.era
 	s.mu.Unlock()
-	status, body, era := s.handle(r)
+	status, body := http.StatusTooManyRequests, any(nil)
+	if allowed {
+		status, body, era = s.handle(r)
+	}
 	if status == 0 {
 		panic(http.ErrAbortHandler)
 	}
@@ -215,6 +224,20 @@
 	}
 }
 
+// count counts a call and reports whether it is within the limits; the caller holds mu. A
+// renewal of a lease counts as a read.
+func (s *store) count(r *http.Request) bool {
+	if now := time.Now().Unix(); now != s.second {
+		s.second, s.reads, s.writes = now, 0, 0
+	}
+	if r.Method == http.MethodGet || strings.HasPrefix(r.URL.Path, "/kv-keep") {
+		s.reads++
+		return s.reads <= readsPerSecond
+	}
+	s.writes++
+	return s.writes <= writesPerSecond
+}
+
 // callCounts returns the number of calls by kind and status.
 func (s *store) callCounts() map[string]int {
 	s.mu.Lock()
