Review cases 6 and 10: more requests, so that each run shows the fault clearly

Cause: some runs had only two broken answers. Change: twice the clients, and 90 ms of work in case 10 as on the site.

--- a/review/standin-2/mixed.go
+++ b/review/standin-2/mixed.go
@@ -136,7 +136,7 @@
 	end := time.Now().Add(2*calmTime + spoilingTime)
 	wrong, whole := 0, 0
 	var clients sync.WaitGroup
-	for n := range 32 {
+	for n := range 64 {
 		clients.Go(func() {
 			for time.Now().Before(end) {
 				time.Sleep(time.Duration(60+rand.IntN(60)) * time.Millisecond)
--- a/review/standin-2/refused.go
+++ b/review/standin-2/refused.go
@@ -26,7 +26,7 @@
 		return false, err
 	}
 	defer b.stop()
-	replicas, err := b.addReplicas("repairs", greyOf/2, 20*time.Millisecond, "opuwo", "uis")
+	replicas, err := b.addReplicas("repairs", greyOf/2, 90*time.Millisecond, "opuwo", "uis")
 	if err != nil {
 		return false, err
 	}
@@ -56,7 +56,7 @@
 	sent, broken, again := 0, 0, 0
 	var clients sync.WaitGroup
 	end := time.Now().Add(greyTime)
-	for n := range 36 {
+	for n := range 72 {
 		clients.Go(func() {
 			for time.Now().Before(end) {
 				time.Sleep(time.Duration(100+rand.IntN(200)) * time.Millisecond)
