--- a/review/standin-2/bed.go
+++ b/review/standin-2/bed.go
@@ -91,7 +91,7 @@
 // newReplica returns a replica that is not started yet.
 func (b *bed) newReplica(service, zone string, work time.Duration) *replica {
 	p := &replica{
-		id: fmt.Sprintf("i-%04x", 4096+(len(b.replicas)+1)*37), service: service, zone: zone, version: "v1", address: b.base + "3:0", work: work,
+		id: fmt.Sprintf("i-%04x", 4096+(len(b.replicas)+1)*37), service: service, zone: zone, version: "v1", slots: 8, address: b.base + "3:0", work: work,
 		rec: b.rec, store: b.store,
 	}
 	b.replicas = append(b.replicas, p)
--- a/review/standin-2/mixed.go
+++ b/review/standin-2/mixed.go
@@ -22,6 +22,7 @@
 	// An answer that is broken off lacks leastCut to mostCut bytes of its body.
 	leastCut, mostCut = 10, 60
 	bodyBytes         = 600
+	workTime          = 30 * time.Millisecond // of a request
 	// calmTime is how long requests are sent before and after.
 	calmTime = 3 * time.Second
 
@@ -68,7 +69,7 @@
 			continue
 		}
 		s.rec.add("replica runs", map[string]any{"request": id, "replica": s.id})
-		time.Sleep(3 * time.Millisecond)
+		time.Sleep(workTime)
 		body := randomBody()
 		s.mu.Lock()
 		signature := fmt.Sprintf("s.%s.%s.%d", s.id, id, len(s.bodies))
@@ -120,7 +121,7 @@
 		defer l.Close()
 		go s.serve(l)
 		p := b.newReplica("logbook", "opuwo", 0)
-		p.id, p.address = s.id, l.Addr().String()
+		p.id, p.address, p.slots = s.id, l.Addr().String(), 3
 		p.keepRegistered()
 	}
 	b.store.put("op/config", config(1, entriesRoute("logbook")))
--- a/review/standin-2/replica.go
+++ b/review/standin-2/replica.go
@@ -22,6 +22,7 @@
 	rec                        *record
 	store                      *store
 	version                    string
+	slots                      int
 	draining                   atomic.Bool
 	bad                        float64 // share of its answers that are 500
 	failing                    float64 // share of the requests that it runs and then answers with 503
@@ -119,7 +120,7 @@
 		state = "draining"
 	}
 	p.store.put("servers/"+p.id, map[string]any{
-		"service": p.service, "address": p.address, "zone": p.zone, "version": p.version, "slots": 8, "state": state,
+		"service": p.service, "address": p.address, "zone": p.zone, "version": p.version, "slots": p.slots, "state": state,
 		"warmup_left_ms": max(0, time.Until(p.coldUntil()).Milliseconds()), "sequence": p.sequence, "born": p.born.Load(),
 	})
 }
