Give up bodies that were broken off and filled up with another response

Beside it, whole bodies that quote a status line or a response were given up, which loses the answer of a request that may run once.

Cause: holdsResponse asked how text in the body looks (headers that only targets send, a head cut off by the end of the body) and not where the response that begins there ends. Bytes behind a body longer than the buffer were not seen.

Change: splice.go parses the response that begins in a body over the end of the body, with what the connection sends behind it. The body is given up if those bytes, or the end of the connection, complete that response; bodies in chunks are not examined. Undecided bodies are waited behind for 100 ms. toucanfaketarget fails within bodies (behavior Spoiling).

Evidence: TestBrokenBodyIsNotFilledUpWithAFailurePage (ten pages, gaps of 1 to 250 bytes) failed before for all ten pages, TestLongBrokenBodyIsNotFilledUpWithAFailurePage too; TestQuotingBodyIsWhole failed for 10 of 21 whole bodies. Why it works: a page goes on behind the body, and a quote does not.

--- a/toucanstair/toucantransport/transport.go
+++ b/toucanstair/toucantransport/transport.go
@@ -364,7 +364,8 @@
 	}
 	c.limit.startBody(maxBytes)
 	body, err := readBody(res, request, maxBytes)
-	if err == nil && (toucanresponse.HoldsStatusLine(res) || holdsResponse(names, body, c.r)) {
+	rest := splice{names: names, body: body, framing: framingOf(res), closes: res.Close, carried: c.history.carried}
+	if err == nil && (toucanresponse.HoldsStatusLine(res) || rest.isSpliced(c)) {
 		mixedResponses.Inc()
 		err = errMixedResponse
 	}
