--- a/toucanstair/toucancanary/controller.go
+++ b/toucanstair/toucancanary/controller.go
@@ -49,6 +49,8 @@
 	// maxRolledBack bounds the remembered moves that were rolled back and are not
 	// in the configuration.
 	maxRolledBack = 256
+	// maxRenamed bounds the remembered earlier names of moves.
+	maxRenamed = 256
 	// maxGossipMoves bounds the move states in one heartbeat.
 	maxGossipMoves = 16
 	// maxStringBytes bounds the reason, source and route that a heartbeat brings, in
@@ -98,6 +100,10 @@
 	evaluations atomic.Pointer[map[string]*evaluation] // by move name; the map is replaced, never changed
 	gossipTurn  atomic.Uint64                          // rotates the move that Offer starts with
 
+	// renamed holds the earlier names of moves by their names; the map is replaced, never
+	// changed.
+	renamed atomic.Pointer[map[string]string]
+
 	mu         sync.Mutex
 	rolledBack map[string]string // reasons of rolled-back moves not in the configuration, by name
 }
@@ -110,7 +116,7 @@
 	if m == nil {
 		return ""
 	}
-	if ev := c.evaluation(m.GetName()); ev != nil && (toucanrank.Ranker{Seed: m.GetName()}).Fraction(request) < ev.share() {
+	if ev := c.evaluationOf(m); ev != nil && (toucanrank.Ranker{Seed: m.GetName()}).Fraction(request) < ev.share() {
 		return m.GetTo()
 	}
 	return m.GetFrom()
@@ -120,7 +126,7 @@
 // service serves at the current stage of its move, 0 to 1.
 func (c *Controller) NewVersionShare(s toucanservice.Name) float64 {
 	if m := c.move(s); m != nil {
-		if ev := c.evaluation(m.GetName()); ev != nil {
+		if ev := c.evaluationOf(m); ev != nil {
 			return ev.share()
 		}
 	}
@@ -135,7 +141,7 @@
 	if m == nil {
 		return false
 	}
-	ev := c.evaluation(m.GetName())
+	ev := c.evaluationOf(m)
 	if ev == nil {
 		return false
 	}
@@ -155,7 +161,7 @@
 		return
 	}
 	fail, counts := classify(code)
-	ev := c.evaluation(m.GetName())
+	ev := c.evaluationOf(m)
 	if ev == nil || !counts || c.Catalog().Route(s, route) == nil {
 		return
 	}
@@ -181,8 +187,10 @@
 func (c *Controller) States() []*toucanpb.MoveState {
 	var out []*toucanpb.MoveState
 	for _, m := range c.moves() {
-		if ev := c.evaluation(m.GetName()); ev != nil {
-			out = append(out, ev.state())
+		if ev := c.evaluationOf(m); ev != nil {
+			s := ev.state()
+			s.Name = m.GetName()
+			out = append(out, s)
 		}
 	}
 	return out
@@ -196,7 +204,7 @@
 	// evenly, so that no move crowds out the evidence of the others.
 	for n := range moves {
 		m := moves[(turn+n)%len(moves)]
-		ev := c.evaluation(m.GetName())
+		ev := c.evaluationOf(m)
 		if ev == nil {
 			continue
 		}
@@ -262,10 +270,62 @@
 }
 
 func (c *Controller) evaluation(name string) *evaluation {
-	if evs := c.evaluations.Load(); evs != nil {
-		return (*evs)[name]
+	evs := c.evaluations.Load()
+	if evs == nil {
+		return nil
+	}
+	if ev := (*evs)[name]; ev != nil {
+		return ev
+	}
+	return (*evs)[c.earlierName(name)]
+}
+
+// evaluationOf returns the evaluation of a move, nil if there is none yet. After the store
+// came back from an earlier copy, a move may have the name of another one before it.
+func (c *Controller) evaluationOf(m *toucanpb.Move) *evaluation {
+	ev := c.evaluation(m.GetName())
+	if ev == nil || ev.move.Load().GetTo() != m.GetTo() {
+		return nil
+	}
+	return ev
+}
+
+// isCurrent reports whether an evaluation is that of the move of its service.
+func (c *Controller) isCurrent(ev *evaluation) bool {
+	m := c.move(toucanservice.Name(ev.move.Load().GetService()))
+	return m != nil && c.evaluationOf(m) == ev
+}
+
+// Rename gives a move another name, under which it goes on with its state and evidence
+// once the configuration has it. unsaved says that the store may lack the state and that
+// this host writes it.
+func (c *Controller) Rename(from, to string, unsaved bool) {
+	if ev := c.evaluation(from); ev != nil && unsaved {
+		ev.markUnsaved()
 	}
-	return nil
+	if from == to {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	renamed := map[string]string{}
+	if old := c.renamed.Load(); old != nil && len(*old) < maxRenamed {
+		maps.Copy(renamed, *old)
+	}
+	if first := renamed[from]; first != "" {
+		delete(renamed, from)
+		from = first
+	}
+	renamed[to] = from
+	c.renamed.Store(&renamed)
+}
+
+// earlierName returns the earlier name of a move, or "".
+func (c *Controller) earlierName(name string) string {
+	if renamed := c.renamed.Load(); renamed != nil {
+		return (*renamed)[name]
+	}
+	return ""
 }
 
 // applyConfig creates, updates and removes evaluations to match the configuration.
@@ -279,6 +339,9 @@
 	for _, m := range c.moves() {
 		ev := old[m.GetName()]
 		if ev == nil {
+			ev = old[c.earlierName(m.GetName())]
+		}
+		if ev == nil || ev.move.Load().GetTo() != m.GetTo() {
 			ev = newEvaluation(m)
 			c.mu.Lock()
 			reason, known := c.rolledBack[m.GetName()]
--- a/toucanstair/toucancanary/evaluation.go
+++ b/toucanstair/toucancanary/evaluation.go
@@ -110,7 +110,8 @@
 func (ev *evaluation) state() *toucanpb.MoveState {
 	ev.mu.Lock()
 	defer ev.mu.Unlock()
-	return &toucanpb.MoveState{Name: ev.move.Load().GetName(), Phase: ev.phase, Stage: ev.stage, Reason: ev.reason}
+	m := ev.move.Load()
+	return &toucanpb.MoveState{Name: m.GetName(), To: m.GetTo(), Phase: ev.phase, Stage: ev.stage, Reason: ev.reason}
 }
 
 // share returns the share of the requests that the new version serves, 0 to 1.
@@ -150,6 +151,9 @@
 func (ev *evaluation) mergeState(s *toucanpb.MoveState) bool {
 	ev.mu.Lock()
 	defer ev.mu.Unlock()
+	if to := s.GetTo(); to != "" && to != ev.move.Load().GetTo() {
+		return false // of another move that had the same name
+	}
 	changed := false
 	if phaseOrder(s.GetPhase()) > phaseOrder(ev.phase) {
 		if ev.phase == toucanpb.MoveState_PHASE_UNSPECIFIED {
--- a/toucanstair/toucancanary/loop.go
+++ b/toucanstair/toucancanary/loop.go
@@ -75,7 +75,7 @@
 func (c *Controller) checkRollback(context.Context) {
 	c.applyConfig()
 	for _, m := range c.moves() {
-		ev := c.evaluation(m.GetName())
+		ev := c.evaluationOf(m)
 		if ev == nil {
 			continue
 		}
@@ -87,6 +87,7 @@
 
 // syncSchedule says when a move is next synchronized with the store.
 type syncSchedule struct {
+	ev        *evaluation // of the move
 	next      time.Time
 	failures  int
 	wasLeader bool
@@ -103,13 +104,13 @@
 		isLeader := c.IsLeader != nil && c.IsLeader()
 		next := map[string]*syncSchedule{}
 		for _, m := range c.moves() {
-			ev := c.evaluation(m.GetName())
+			ev := c.evaluationOf(m)
 			if ev == nil {
 				continue
 			}
 			schedule := schedules[m.GetName()]
-			if schedule == nil {
-				schedule = &syncSchedule{next: time.Now().Add(rand.N(firstReadSpread))}
+			if schedule == nil || schedule.ev != ev {
+				schedule = &syncSchedule{ev: ev, next: time.Now().Add(rand.N(firstReadSpread))}
 			}
 			next[m.GetName()] = schedule
 			c.syncIfDue(ctx, ev, schedule, isLeader)
@@ -193,6 +194,9 @@
 	if !isLeader && !unsaved {
 		return nil
 	}
+	if !c.isCurrent(ev) {
+		return nil // its name is that of another move now
+	}
 	value, err := proto.Marshal(next)
 	if err != nil {
 		return toucanfault.NotRun(toucanpb.Code_CODE_INTERNAL, "state of "+key).Because(err)
--- a/toucanstair/toucanfeed/client.go
+++ b/toucanstair/toucanfeed/client.go
@@ -20,6 +20,9 @@
 	MaxAge     time.Duration // since the store confirmed the other host's copy
 	// DeltasOnly makes Follow fail where the other host would send all items.
 	DeltasOnly bool
+	// NeedsEra makes Follow fail where the other host tells no era of the store. Otherwise
+	// that host is taken to be in the receiver's.
+	NeedsEra bool
 }
 
 // StaleError is the error of a feed whose host has an outdated copy of the
@@ -36,8 +39,9 @@
 
 // Receiver takes in the messages of a feed.
 type Receiver interface {
-	// ApplyBatch applies changes that the store confirmed at a point in time.
-	ApplyBatch(b toucanmirror.Batch, confirmed time.Time)
+	// ApplyBatch applies changes that the store confirmed at a point in time. An error ends
+	// the feed.
+	ApplyBatch(b toucanmirror.Batch, confirmed time.Time) error
 	// RecordDeparture records a target that announced its departure to another host.
 	RecordDeparture(d toucanbalancer.Departure)
 }
@@ -48,7 +52,7 @@
 // Follow streams the changes after a revision from the host at an address to a
 // receiver. It returns an error when the feed fails, is silent for MaxSilence or is older
 // than MaxAge; the latter is a *StaleError.
-func (Client) Follow(ctx context.Context, address string, after uint64, l Limits, receiver Receiver) error {
+func (Client) Follow(ctx context.Context, address string, after toucanmirror.Revision, l Limits, receiver Receiver) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	conn, err := grpc.NewClient("passthrough:///"+address,
@@ -60,7 +64,7 @@
 	defer conn.Close()
 	silenceTimer := time.AfterFunc(l.MaxSilence, cancel)
 	defer silenceTimer.Stop()
-	stream, err := toucanpb.NewFeedClient(conn).Follow(ctx, &toucanpb.FollowRequest{After: after, Limit: int64(l.MaxAge), Deltas: l.DeltasOnly})
+	stream, err := toucanpb.NewFeedClient(conn).Follow(ctx, &toucanpb.FollowRequest{After: after.Count(), Era: uint64(after.Era()), Limit: int64(l.MaxAge), Deltas: l.DeltasOnly})
 	if err != nil {
 		return err
 	}
@@ -74,15 +78,24 @@
 		if age > l.MaxAge {
 			return &StaleError{address, "the host's copy of the store is outdated", age}
 		}
-		b := toucanmirror.Batch{Full: r.GetWhole(), Revision: r.GetRevision()}
+		era := toucanmirror.Era(r.GetEra())
+		switch {
+		case era == 0 && l.NeedsEra:
+			return &StaleError{address, "the host does not tell the era of the store", age}
+		case era == 0:
+			era = after.Era()
+		}
+		b := toucanmirror.Batch{Full: r.GetWhole(), Revision: toucanmirror.At(era, r.GetRevision())}
 		for _, it := range r.GetRecords() {
-			item := toucanmirror.Item{Key: it.GetKey(), Value: it.GetValue(), Revision: it.GetRevision(), Deleted: it.GetGone()}
+			item := toucanmirror.Item{Key: it.GetKey(), Value: it.GetValue(), Revision: toucanmirror.At(era, it.GetRevision()), Deleted: it.GetGone()}
 			if since := it.GetSince(); since > 0 {
 				item.DeletedAfter = time.Now().Add(-time.Duration(since))
 			}
 			b.Items = append(b.Items, item)
 		}
-		receiver.ApplyBatch(b, time.Now().Add(-age-maxTransferTime))
+		if err := receiver.ApplyBatch(b, time.Now().Add(-age-maxTransferTime)); err != nil {
+			return err
+		}
 		for _, d := range r.GetDepartures() {
 			receiver.RecordDeparture(toucanbalancer.Departure{Target: toucanreplica.ID(d.GetTarget()), StartMillis: d.GetStart()})
 		}
--- a/toucanstair/toucanfeed/feed_test.go
+++ b/toucanstair/toucanfeed/feed_test.go
@@ -25,10 +25,11 @@
 	departure func(toucanbalancer.Departure)
 }
 
-func (r receiver) ApplyBatch(b toucanmirror.Batch, confirmed time.Time) {
+func (r receiver) ApplyBatch(b toucanmirror.Batch, confirmed time.Time) error {
 	if r.batch != nil {
 		r.batch(b, confirmed)
 	}
+	return nil
 }
 
 func (r receiver) RecordDeparture(d toucanbalancer.Departure) {
@@ -61,8 +62,8 @@
 
 var limits = toucanfeed.Limits{MaxSilence: 5 * time.Second, MaxAge: time.Minute}
 
-func put(m *toucanmirror.Mirror, key string, revision uint64, full bool) {
-	m.Apply(toucanmirror.Batch{Items: []toucanmirror.Item{{Key: key, Revision: revision}}, Full: full, Revision: revision}, time.Now())
+func put(m *toucanmirror.Mirror, key string, revision toucanmirror.Revision, full bool) {
+	_, _, _ = m.Apply(toucanmirror.Batch{Items: []toucanmirror.Item{{Key: key, Revision: revision}}, Full: full, Revision: revision}, time.Now())
 }
 
 // Guards against a follower that lacks the existing items, later changes, or
@@ -83,7 +84,7 @@
 	}()
 	first := <-batches
 	require.True(t, first.Full)
-	require.Equal(t, uint64(5), first.Revision)
+	require.Equal(t, toucanmirror.Revision(5), first.Revision)
 	put(&m, "b", 6, false)
 	second := <-batches
 	require.False(t, second.Full)
@@ -120,9 +121,9 @@
 // a time of removal where none is known.
 func TestFollowReceivesTimesOfRemovals(t *testing.T) {
 	var m toucanmirror.Mirror
-	m.Apply(toucanmirror.Batch{Items: []toucanmirror.Item{{Key: "a", Revision: 5}, {Key: "b", Revision: 5}}, Full: true, Revision: 5}, time.Now())
+	_, _, _ = m.Apply(toucanmirror.Batch{Items: []toucanmirror.Item{{Key: "a", Revision: 5}, {Key: "b", Revision: 5}}, Full: true, Revision: 5}, time.Now())
 	after := time.Now().Add(-time.Second)
-	m.Apply(toucanmirror.Batch{Items: []toucanmirror.Item{{Key: "a", Revision: 6, Deleted: true, DeletedAfter: after}, {Key: "b", Revision: 7, Deleted: true}}, Revision: 7}, time.Now())
+	_, _, _ = m.Apply(toucanmirror.Batch{Items: []toucanmirror.Item{{Key: "a", Revision: 6, Deleted: true, DeletedAfter: after}, {Key: "b", Revision: 7, Deleted: true}}, Revision: 7}, time.Now())
 	address := serve(t, &m)
 	ctx, cancel := context.WithCancel(t.Context())
 	received := make(chan toucanmirror.Batch, 10)
@@ -144,7 +145,7 @@
 // store.
 func TestFollowFailsOnStaleFeed(t *testing.T) {
 	var m toucanmirror.Mirror
-	m.Apply(toucanmirror.Batch{Full: true, Revision: 5}, time.Now().Add(-time.Hour))
+	_, _, _ = m.Apply(toucanmirror.Batch{Full: true, Revision: 5}, time.Now().Add(-time.Hour))
 	err := toucanfeed.Client{}.Follow(t.Context(), serve(t, &m), 5, limits, receiver{})
 	var stale *toucanfeed.StaleError
 	require.ErrorAs(t, err, &stale)
@@ -154,7 +155,7 @@
 // Guards against a copy that is sent although it is too old for the receiver.
 func TestOldCopyIsNotSent(t *testing.T) {
 	var m toucanmirror.Mirror
-	m.Apply(toucanmirror.Batch{Items: []toucanmirror.Item{{Key: "a", Revision: 5}}, Full: true, Revision: 5}, time.Now().Add(-time.Hour))
+	_, _, _ = m.Apply(toucanmirror.Batch{Items: []toucanmirror.Item{{Key: "a", Revision: 5}}, Full: true, Revision: 5}, time.Now().Add(-time.Hour))
 	conn, err := grpc.NewClient(serve(t, &m), grpc.WithTransportCredentials(insecure.NewCredentials()))
 	require.NoError(t, err)
 	t.Cleanup(func() { require.NoError(t, conn.Close()) })
--- a/toucanstair/toucanfeed/server.go
+++ b/toucanstair/toucanfeed/server.go
@@ -47,10 +47,20 @@
 // keepaliveInterval a message that may have no changes. Each message has the age
 // of the mirror and the departures that were not sent yet.
 func (s *Server) Follow(r *toucanpb.FollowRequest, stream grpc.ServerStreamingServer[toucanpb.FollowReply]) error {
-	after, sentDepartures := r.GetAfter(), uint64(0)
+	era := toucanmirror.Era(r.GetEra())
+	if era == 0 {
+		era = s.Mirror.Revision().Era() // the receiver knows of no eras
+	}
+	after, sentDepartures := toucanmirror.Revision(0), uint64(0)
+	if r.GetAfter() > 0 {
+		after = toucanmirror.At(min(era, toucanmirror.MaxEra), min(r.GetAfter(), toucanmirror.MaxCount))
+	}
+	if after.Era() > s.Mirror.Revision().Era() {
+		return status.Error(codes.FailedPrecondition, "the receiver knows a later era of the store")
+	}
 	if age := s.Mirror.Age(time.Now()); r.GetLimit() > 0 && age > time.Duration(r.GetLimit()) {
 		// The receiver gives up an older copy, which may be large.
-		return stream.Send(&toucanpb.FollowReply{Revision: after, Age: int64(age)})
+		return stream.Send(&toucanpb.FollowReply{Revision: after.Count(), Era: uint64(after.Era()), Age: int64(age)})
 	}
 	keepalive := time.NewTicker(keepaliveInterval)
 	defer keepalive.Stop()
@@ -85,9 +95,9 @@
 }
 
 func reply(b toucanmirror.Batch, age time.Duration) *toucanpb.FollowReply {
-	out := &toucanpb.FollowReply{Whole: b.Full, Revision: b.Revision, Age: int64(age)}
+	out := &toucanpb.FollowReply{Whole: b.Full, Revision: b.Revision.Count(), Era: uint64(b.Revision.Era()), Age: int64(age)}
 	for _, it := range b.Items {
-		record := &toucanpb.Record{Key: it.Key, Value: it.Value, Revision: it.Revision, Gone: it.Deleted}
+		record := &toucanpb.Record{Key: it.Key, Value: it.Value, Revision: it.Revision.Count(), Gone: it.Deleted}
 		if !it.DeletedAfter.IsZero() {
 			record.Since = max(1, int64(time.Since(it.DeletedAfter)))
 		}
--- a/toucanstair/toucanfollower/apply.go
+++ b/toucanstair/toucanfollower/apply.go
@@ -24,16 +24,24 @@
 	at time.Time
 }
 
-// apply stores a batch in the mirror and applies the changes.
-func (f *Follower) apply(b toucanmirror.Batch, confirmed time.Time) {
+// apply stores a batch in the mirror and applies the changes. It fails if the batch is of
+// another era than the mirror.
+func (f *Follower) apply(b toucanmirror.Batch, confirmed time.Time) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.lastSignificant == nil {
 		f.lastSignificant = make(map[string]appliedChange)
-		f.Mirror.IsSignificant = f.isSignificant
+		f.Mirror.IsSignificant, f.Mirror.Retention = f.isSignificant, f.retention
+	}
+	before, lastEra := f.Mirror.Revision(), f.Mirror.LastEraChange()
+	significant, insignificant, err := f.Mirror.Apply(b, confirmed)
+	if err != nil {
+		return err
 	}
-	significant, insignificant := f.Mirror.Apply(b, confirmed)
 	now := time.Now()
+	if change := f.Mirror.LastEraChange(); change != lastEra {
+		f.eraBegan(before, change, now)
+	}
 	for _, it := range insignificant {
 		// An insignificant change is a heartbeat of a target, which may lower
 		// its cold time.
@@ -46,8 +54,9 @@
 	}
 	clear(f.decoded)
 	if f.Mirror.Revision() > 0 && f.listed.CompareAndSwap(false, true) {
-		f.Log.Info("store read", zap.Uint64("revision", f.Mirror.Revision()), zap.Int("targets", f.Targets.Len()))
+		f.Log.Info("store read", zap.Stringer("revision", f.Mirror.Revision()), zap.Int("targets", f.Targets.Len()))
 	}
+	return nil
 }
 
 func (f *Follower) applySignificant(items []toucanmirror.Item, now time.Time) {
@@ -71,7 +80,7 @@
 
 type itemVersion struct {
 	key      string
-	revision uint64
+	revision toucanmirror.Revision
 }
 
 // decode decodes an item, at most once for each batch.
@@ -86,7 +95,7 @@
 		c, err = Change{}, panicked
 	}
 	if err != nil {
-		f.Log.Warn("item can't be decoded", zap.String("key", it.Key), zap.Uint64("revision", it.Revision), zap.Error(err))
+		f.Log.Warn("item can't be decoded", zap.String("key", it.Key), zap.Stringer("revision", it.Revision), zap.Error(err))
 	}
 	if f.decoded == nil {
 		f.decoded = make(map[itemVersion]Change)
@@ -116,7 +125,7 @@
 func (f *Follower) applyChange(c Change, it toucanmirror.Item, outOfService map[toucanzone.Name]bool, peers map[toucanhost.ID]toucansource.Peer, now time.Time) {
 	switch {
 	case c.Rules != nil:
-		if it.Revision <= f.rulesRevision {
+		if it.Revision <= f.rulesRevision || !f.mayReplaceRules(c.Rules, it.Revision) {
 			return
 		}
 		c.Rules.BuildIndex()
@@ -127,23 +136,23 @@
 		}
 		f.recentRules.Store(&recent)
 		f.rules.Store(c.Rules)
-		f.Log.Info("rules reloaded", zap.Uint64("version", c.Rules.Version), zap.Uint64("revision", it.Revision), zap.Int("routes", len(c.Rules.Routes)))
+		f.Log.Info("rules reloaded", zap.Uint64("version", c.Rules.Version), zap.Stringer("revision", it.Revision), zap.Int("routes", len(c.Rules.Routes)))
 	case c.Target != nil:
 		added := f.Targets.Upsert(*c.Target, now)
 		if f.listed.Load() && (added || c.Target.Draining) {
 			f.Log.Info("target changed", zap.String("target", string(c.Target.ID)), zap.String("service", string(c.Target.Service)),
-				zap.Bool("draining", c.Target.Draining), zap.Uint64("revision", it.Revision))
+				zap.Bool("draining", c.Target.Draining), zap.Stringer("revision", it.Revision))
 		}
 	case c.RemovedTarget != "":
 		f.Targets.MarkRemoved(c.RemovedTarget, it.DeletedAfter, now)
-		f.Log.Info("entry of target gone", zap.String("target", string(c.RemovedTarget)), zap.Uint64("revision", it.Revision))
+		f.Log.Info("entry of target gone", zap.String("target", string(c.RemovedTarget)), zap.Stringer("revision", it.Revision))
 	case c.Zone != "":
 		if c.OutOfService {
 			outOfService[c.Zone] = true
 		} else {
 			delete(outOfService, c.Zone)
 		}
-		f.Log.Info("zone taken out or back", zap.String("name", string(c.Zone)), zap.Bool("out", c.OutOfService), zap.Uint64("revision", it.Revision))
+		f.Log.Info("zone taken out or back", zap.String("name", string(c.Zone)), zap.Bool("out", c.OutOfService), zap.Stringer("revision", it.Revision))
 	case c.Order != nil:
 		f.Rollouts.AddOrder(*c.Order, now)
 	case c.WithdrawnOrder != "":
@@ -152,9 +161,9 @@
 		f.Rollouts.ApplyStoredState(*c.State)
 	case c.Peer != nil:
 		peers[c.Peer.ID] = *c.Peer
-		f.Log.Info("host listed", zap.String("peer", string(c.Peer.ID)), zap.Uint64("revision", it.Revision))
+		f.Log.Info("host listed", zap.String("peer", string(c.Peer.ID)), zap.Stringer("revision", it.Revision))
 	case c.RemovedHost != "":
 		delete(peers, c.RemovedHost)
-		f.Log.Info("host gone", zap.String("peer", string(c.RemovedHost)), zap.Uint64("revision", it.Revision))
+		f.Log.Info("host gone", zap.String("peer", string(c.RemovedHost)), zap.Stringer("revision", it.Revision))
 	}
 }
--- a/toucanstair/toucanfollower/backup.go
+++ b/toucanstair/toucanfollower/backup.go
@@ -11,7 +11,6 @@
 
 	"toucanstair.example/core/toucantimer"
 	"toucanstair.example/toucanstair/toucanbalancer"
-	"toucanstair.example/toucanstair/toucanfeed"
 	"toucanstair.example/toucanstair/toucanmirror"
 	"toucanstair.example/toucanstair/toucanpanic"
 	"toucanstair.example/toucanstair/toucansource"
@@ -87,7 +86,7 @@
 // runBackups follows backups until the primary source is fresh again or ctx ends.
 func (f *Follower) runBackups(ctx context.Context, hosts []toucansource.Peer) {
 	ctx, cancel := context.WithCancel(ctx)
-	f.Log.Info("source is old, backups followed", zap.Duration("age", f.primaryAge()), zap.Uint64("revision", f.Mirror.Revision()), zap.Int("hosts", len(hosts)))
+	f.Log.Info("source is old, backups followed", zap.Duration("age", f.primaryAge()), zap.Stringer("revision", f.Mirror.Revision()), zap.Int("hosts", len(hosts)))
 	parallel := maxBackups
 	if f.planner().Rank(f.Peers()) > toucansource.MaxReaderRank {
 		parallel = 1
@@ -107,7 +106,7 @@
 	}
 	cancel()
 	group.Wait()
-	f.Log.Info("backups ended", zap.Duration("age", f.primaryAge()), zap.Uint64("revision", f.Mirror.Revision()))
+	f.Log.Info("backups ended", zap.Duration("age", f.primaryAge()), zap.Stringer("revision", f.Mirror.Revision()))
 }
 
 // recovering calls a part of a backup and logs its panic.
@@ -120,7 +119,8 @@
 // followBackup follows a host until that fails or its copy is too old.
 func (f *Follower) followBackup(ctx context.Context, p toucansource.Peer) {
 	feedsFollowed.Inc()
-	limits := toucanfeed.Limits{MaxSilence: maxFeedSilence, MaxAge: f.backupAge(), DeltasOnly: true}
+	limits := f.feedLimits(f.backupAge())
+	limits.DeltasOnly = true
 	from := f.Mirror.FollowFrom(time.Now())
 	err := f.feeds().Follow(ctx, p.Address, from, limits, backupReceiver{f})
 	if revision := f.Mirror.Revision(); from < revision && ctx.Err() == nil {
@@ -181,8 +181,8 @@
 // backupReceiver applies the messages of a backup.
 type backupReceiver struct{ follower *Follower }
 
-func (r backupReceiver) ApplyBatch(b toucanmirror.Batch, confirmed time.Time) {
-	r.follower.apply(b, confirmed)
+func (r backupReceiver) ApplyBatch(b toucanmirror.Batch, confirmed time.Time) error {
+	return r.follower.apply(b, confirmed)
 }
 
 func (r backupReceiver) RecordDeparture(d toucanbalancer.Departure) {
--- a/toucanstair/toucanfollower/fleet_test.go
+++ b/toucanstair/toucanfollower/fleet_test.go
@@ -92,14 +92,14 @@
 	return nil
 }
 
-func (n *simulatedNode) List(ctx context.Context, stale bool) (items []toucanmirror.Item, revision uint64, err error) {
+func (n *simulatedNode) List(ctx context.Context, stale bool) (items []toucanmirror.Item, revision toucanmirror.Revision, err error) {
 	if e := n.call(ctx, func() { items, revision, err = n.fleet.store.List(ctx, stale) }); e != nil {
 		return nil, 0, e
 	}
 	return items, revision, err
 }
 
-func (n *simulatedNode) Watch(ctx context.Context, after uint64, wait time.Duration) (items []toucanmirror.Item, revision uint64, err error) {
+func (n *simulatedNode) Watch(ctx context.Context, after toucanmirror.Revision, wait time.Duration) (items []toucanmirror.Item, revision toucanmirror.Revision, err error) {
 	if e := n.call(ctx, func() { items, revision, err = n.fleet.store.Watch(ctx, after, wait) }); e != nil {
 		return nil, 0, e
 	}
@@ -117,7 +117,7 @@
 }
 
 // Follow streams the mirror of another host as toucanfeed does.
-func (n *simulatedNode) Follow(ctx context.Context, address string, after uint64, l toucanfeed.Limits, receiver toucanfeed.Receiver) error {
+func (n *simulatedNode) Follow(ctx context.Context, address string, after toucanmirror.Revision, l toucanfeed.Limits, receiver toucanfeed.Receiver) error {
 	other := n.fleet.nodes[address]
 	latency := time.Millisecond
 	if other.Self.Zone != n.Self.Zone {
@@ -125,6 +125,9 @@
 	}
 	<-time.After(2*latency + n.fleet.feedDelay)
 	silentSince := time.Now()
+	if after.Era() > other.Mirror.Revision().Era() {
+		return unavailable{}
+	}
 	for ctx.Err() == nil {
 		b, changed := other.Mirror.Since(after)
 		if b.Revision == 0 {
@@ -140,7 +143,9 @@
 			if age := time.Since(confirmed); age > l.MaxAge {
 				return &toucanfeed.StaleError{Address: address, Age: age}
 			}
-			receiver.ApplyBatch(b, confirmed.Add(latency-20*time.Millisecond))
+			if err := receiver.ApplyBatch(b, confirmed.Add(latency-20*time.Millisecond)); err != nil {
+				return err
+			}
 			after = b.Revision
 		} else if time.Since(silentSince) > l.MaxSilence {
 			return context.DeadlineExceeded
@@ -184,6 +189,7 @@
 		store: newFakeStore(), nodes: map[string]*simulatedNode{},
 		modes: map[toucanhost.ID]storeMode{}, frozen: map[toucanhost.ID]bool{}, isolated: map[toucanhost.ID]bool{},
 	}
+	f.store.revision = toucanmirror.At(1, 1)
 	f.store.put("rules", "1")
 	ctx, cancel := context.WithCancel(t.Context())
 	var ends []<-chan error
--- a/toucanstair/toucanfollower/follower.go
+++ b/toucanstair/toucanfollower/follower.go
@@ -110,10 +110,10 @@
 type Store interface {
 	// List returns all items and a revision from which a watch sees every later
 	// change. If stale is set, the items may be some seconds old.
-	List(ctx context.Context, stale bool) ([]toucanmirror.Item, uint64, error)
+	List(ctx context.Context, stale bool) ([]toucanmirror.Item, toucanmirror.Revision, error)
 	// Watch waits for changes after a revision. It returns ErrCompacted if they
-	// are no longer available.
-	Watch(ctx context.Context, after uint64, wait time.Duration) ([]toucanmirror.Item, uint64, error)
+	// are no longer available, or if the store is in another era.
+	Watch(ctx context.Context, after toucanmirror.Revision, wait time.Duration) ([]toucanmirror.Item, toucanmirror.Revision, error)
 }
 
 // rollouts executes orders to roll out new versions of services.
@@ -125,7 +125,7 @@
 
 // feeds are the feeds of other hosts; toucanfeed.Client implements it.
 type feeds interface {
-	Follow(ctx context.Context, address string, after uint64, l toucanfeed.Limits, receiver toucanfeed.Receiver) error
+	Follow(ctx context.Context, address string, after toucanmirror.Revision, l toucanfeed.Limits, receiver toucanfeed.Receiver) error
 }
 
 // Follower maintains the state that the store holds. The exported fields are
@@ -145,7 +145,7 @@
 
 	mu                  sync.Mutex // serializes batches
 	rules               atomic.Pointer[toucanrules.Rules]
-	rulesRevision       uint64                               // of the item with the newest rules
+	rulesRevision       toucanmirror.Revision                // of the item with the newest rules
 	recentRules         atomic.Pointer[[]*toucanrules.Rules] // newest first
 	outOfService        atomic.Pointer[map[toucanzone.Name]bool]
 	peers               atomic.Pointer[map[toucanhost.ID]toucansource.Peer]
@@ -279,7 +279,7 @@
 		f.storeUncertainSince.Store(time.Now().UnixNano())
 	}
 	f.disconnected = true
-	f.Log.Warn("dependency lost", zap.String("source", sourceName(s)), zap.Uint64("revision", f.Mirror.Revision()),
+	f.Log.Warn("dependency lost", zap.String("source", sourceName(s)), zap.Stringer("revision", f.Mirror.Revision()),
 		zap.Duration("age", f.Mirror.Age(time.Now())), zap.Error(err))
 }
 
@@ -298,7 +298,7 @@
 	if s.IsStore() {
 		f.storeUncertainSince.Store(time.Now().UnixNano())
 	}
-	f.Log.Info("dependency regained", zap.String("source", sourceName(s)), zap.Uint64("revision", f.Mirror.Revision()))
+	f.Log.Info("dependency regained", zap.String("source", sourceName(s)), zap.Stringer("revision", f.Mirror.Revision()))
 }
 
 func backoff(failures int) time.Duration {
@@ -340,7 +340,7 @@
 		feedCtx, cancel = context.WithDeadline(ctx, fallbackUntil)
 		defer cancel()
 	}
-	limits := toucanfeed.Limits{MaxSilence: maxFeedSilence, MaxAge: time.Duration(maxFeedAgeShare * float64(f.MaxPropagation))}
+	limits := f.feedLimits(time.Duration(maxFeedAgeShare * float64(f.MaxPropagation)))
 	if bounded {
 		limits.MaxAge = f.backupAge()
 	}
@@ -351,6 +351,12 @@
 	return err
 }
 
+// feedLimits returns the limits of a feed with a largest age. Before the first change of
+// the era a host that tells none is in the same.
+func (f *Follower) feedLimits(maxAge time.Duration) toucanfeed.Limits {
+	return toucanfeed.Limits{MaxSilence: maxFeedSilence, MaxAge: maxAge, NeedsEra: f.Mirror.LastEraChange().Era > 0}
+}
+
 // feedReceiver applies the messages of another host's feed.
 type feedReceiver struct {
 	follower *Follower
@@ -360,12 +366,15 @@
 	best bool
 }
 
-func (r feedReceiver) ApplyBatch(b toucanmirror.Batch, confirmed time.Time) {
-	r.follower.apply(b, confirmed)
+func (r feedReceiver) ApplyBatch(b toucanmirror.Batch, confirmed time.Time) error {
+	if err := r.follower.apply(b, confirmed); err != nil {
+		return err
+	}
 	if r.best {
 		r.follower.primaryConfirmed.Store(confirmed.UnixNano())
 	}
 	r.follower.sourceRegained(toucansource.Source{Peer: r.peer})
+	return nil
 }
 
 func (r feedReceiver) RecordDeparture(d toucanbalancer.Departure) {
--- a/toucanstair/toucanfollower/follower_test.go
+++ b/toucanstair/toucanfollower/follower_test.go
@@ -37,14 +37,15 @@
 	mu            sync.Mutex
 	items         map[string]toucanmirror.Item
 	log           []toucanmirror.Item
-	revision      uint64
-	compactedTo   uint64 // changes up to this revision are compacted
+	revision      toucanmirror.Revision
+	compactedTo   toucanmirror.Revision // changes up to this revision are compacted
 	down          bool
 	hung          bool                         // watches hang until their context ends
 	staleItems    map[string]toucanmirror.Item // returned by stale lists, with staleRevision; nil: the current items
-	staleRevision uint64
+	staleRevision toucanmirror.Revision
 	calls         int
 	changed       chan struct{}
+	hidesEra      bool // the responses do not tell the era
 }
 
 func newFakeStore() *fakeStore {
@@ -83,7 +84,7 @@
 	return s.calls
 }
 
-func (s *fakeStore) List(_ context.Context, stale bool) ([]toucanmirror.Item, uint64, error) {
+func (s *fakeStore) List(_ context.Context, stale bool) ([]toucanmirror.Item, toucanmirror.Revision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
@@ -96,7 +97,7 @@
 	return slices.Collect(maps.Values(s.items)), s.revision, nil
 }
 
-func (s *fakeStore) Watch(ctx context.Context, after uint64, wait time.Duration) ([]toucanmirror.Item, uint64, error) {
+func (s *fakeStore) Watch(ctx context.Context, after toucanmirror.Revision, wait time.Duration) ([]toucanmirror.Item, toucanmirror.Revision, error) {
 	s.set(func() { s.calls++ })
 	until := time.Now().Add(wait)
 	for {
@@ -109,6 +110,7 @@
 			}
 		}
 		at, compactedTo := s.revision, s.compactedTo
+		missing := after.Era() != at.Era() || after > at
 		if len(out) == maxEvents {
 			at = out[maxEvents-1].Revision
 		}
@@ -119,7 +121,7 @@
 		case hung:
 			<-ctx.Done()
 			return nil, 0, ctx.Err()
-		case after < compactedTo:
+		case after < compactedTo || missing:
 			return nil, 0, toucanfollower.ErrCompacted
 		case len(out) > 0 || !time.Now().Before(until):
 			return out, at, nil
@@ -271,7 +273,7 @@
 	limit int
 }
 
-func (p *pagedStore) Watch(ctx context.Context, after uint64, wait time.Duration) ([]toucanmirror.Item, uint64, error) {
+func (p *pagedStore) Watch(ctx context.Context, after toucanmirror.Revision, wait time.Duration) ([]toucanmirror.Item, toucanmirror.Revision, error) {
 	items, at, err := p.fakeStore.Watch(ctx, after, wait)
 	if len(items) > p.limit {
 		items = items[:p.limit]
--- a/toucanstair/toucanfollower/removaltime_test.go
+++ b/toucanstair/toucanfollower/removaltime_test.go
@@ -18,7 +18,7 @@
 	delay time.Duration
 }
 
-func (s lateStore) Watch(ctx context.Context, after uint64, wait time.Duration) ([]toucanmirror.Item, uint64, error) {
+func (s lateStore) Watch(ctx context.Context, after toucanmirror.Revision, wait time.Duration) ([]toucanmirror.Item, toucanmirror.Revision, error) {
 	items, revision, err := s.fakeStore.Watch(ctx, after, wait)
 	<-time.After(s.delay)
 	return items, revision, err
--- a/toucanstair/toucanfollower/storereader.go
+++ b/toucanstair/toucanfollower/storereader.go
@@ -74,7 +74,9 @@
 	defer cancel()
 	items, revision, err := f.Store.Watch(watchCtx, after, hold)
 	if errors.Is(err, ErrCompacted) {
-		f.Log.Info("the store has compacted its changes, listing again", zap.Uint64("after", after))
+		f.Log.Info("the store does not have these changes, listing again", zap.Stringer("after", after))
+		// However often the store has none, there is one list for each pause.
+		r.nextCall = began.Add(f.watchPause() / time.Duration(max(1, r.pauseDivisor)))
 		return f.list(ctx, r)
 	}
 	if err != nil {
@@ -96,7 +98,9 @@
 	case len(items) == 0 && confirmed.Sub(began) >= hold:
 		r.completeTo = began.Add(hold) // the store has waited for a change for so long
 	}
-	f.apply(toucanmirror.Batch{Items: items, Revision: revision}, confirmed)
+	if err := f.apply(toucanmirror.Batch{Items: items, Revision: revision}, confirmed); err != nil {
+		return err
+	}
 	if !r.backlog && len(items) > 0 {
 		r.nextCall = began.Add(f.watchPause() / time.Duration(max(1, r.pauseDivisor)))
 	}
@@ -144,13 +148,12 @@
 	if err != nil {
 		return err
 	}
-	f.apply(toucanmirror.Batch{Items: items, Full: true, Revision: revision}, time.Now())
-	return nil
+	return f.apply(toucanmirror.Batch{Items: items, Full: true, Revision: revision}, time.Now())
 }
 
 // catchUp returns listed items with the changes since their revision, as many as
 // maxCatchUpCalls return. Without them the items must not be used.
-func (f *Follower) catchUp(ctx context.Context, r *storeReader, items []toucanmirror.Item, revision uint64) ([]toucanmirror.Item, uint64, error) {
+func (f *Follower) catchUp(ctx context.Context, r *storeReader, items []toucanmirror.Item, revision toucanmirror.Revision) ([]toucanmirror.Item, toucanmirror.Revision, error) {
 	current := make(map[string]toucanmirror.Item, len(items))
 	for _, it := range items {
 		current[it.Key] = it
--- a/toucanstair/toucanmirror/mirror.go
+++ b/toucanstair/toucanmirror/mirror.go
@@ -1,6 +1,7 @@
 // Package toucanmirror keeps a copy of the store's keys that concern a host.
 // Batches may come from several sources in any order; a key never returns to an
-// older revision.
+// older revision. After the store came back from an earlier copy of itself, a later era
+// begins, in which revisions of the earlier one count for nothing.
 package toucanmirror
 
 import (
@@ -25,7 +26,7 @@
 // Item is a key of the store with its value.
 type Item struct {
 	Key      string
-	Revision uint64
+	Revision Revision
 	Value    []byte
 	Deleted  bool // deleted at Revision
 	// DeletedAfter is the earliest possible time of the deletion, or zero if it is not known.
@@ -36,7 +37,7 @@
 type Batch struct {
 	Items    []Item
 	Full     bool // Items are all items of the store
-	Revision uint64
+	Revision Revision
 }
 
 // Mirror is a copy of the store's items. The zero value is empty and treats
@@ -46,13 +47,19 @@
 	// which can do without insignificant changes; nil means always. Apply calls
 	// it with the Mirror locked, so it must not call the Mirror.
 	IsSignificant func(old, new Item) bool
+	// Retention returns how long what is known of a key stays in force against what the store
+	// has after it came back from an earlier copy; either may be Deleted. A change of the key
+	// ends it. nil means not at all. It is set before use, and called like IsSignificant.
+	Retention func(known, copied Item) time.Duration
 
 	mu          sync.Mutex
 	items       map[string]Item
 	removed     map[string]removal
-	forgottenTo uint64 // removals up to this revision may be forgotten
+	forgottenTo Revision // removals up to this revision may be forgotten
 	gaps        []gap
-	revision    uint64
+	revision    Revision
+	retained    map[string]retained
+	lastEra     EraChange
 	confirmedAt time.Time // when the store confirmed the revision
 	announcedAt time.Time // confirmedAt when receivers were last woken
 	changed     chan struct{}
@@ -61,27 +68,46 @@
 // gap is a range of revisions over which a list replaced the changes. A key that was
 // created and removed in it is not known here, but a receiver with a revision inside the
 // range may have it.
-type gap struct{ from, to uint64 } // both excluded
+type gap struct{ from, to Revision } // both excluded
 
 // maxGaps bounds the remembered gaps.
 const maxGaps = 8
 
 type removal struct {
-	revision uint64
+	revision Revision
 	at       time.Time
 	after    time.Time // DeletedAfter of the item
 	timedAt  time.Time // when after was added to a removal that was known without it; zero: never
 }
 
+// EraError means that a batch is not of the era of the Mirror, and was not applied.
+type EraError struct{ Known, Batch Era }
+
+func (e *EraError) Error() string {
+	return "the store is in era " + e.Known.String() + ", and this is a part of era " + e.Batch.String()
+}
+
 // Apply applies a batch that the store confirmed at a point in time, and
-// returns the significant and the insignificant changes.
-func (m *Mirror) Apply(b Batch, confirmed time.Time) (significant, insignificant []Item) {
+// returns the significant and the insignificant changes. A batch of an earlier era, or one
+// of a later era that does not have all items, is not applied; the error is an *EraError.
+func (m *Mirror) Apply(b Batch, confirmed time.Time) (significant, insignificant []Item, err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.init()
+	if known, era := m.revision.Era(), b.Revision.Era(); m.revision > 0 && era != known {
+		if era < known || !b.Full {
+			return nil, nil, &EraError{known, era}
+		}
+		m.enterEra(b, time.Now())
+	}
+	before := m.revision
 	listed := make(map[string]bool, len(b.Items))
 	for _, it := range b.Items {
 		listed[it.Key] = true
+		retained, ends := m.checkRetention(it)
+		if retained {
+			continue
+		}
 		switch old, exists := m.items[it.Key]; {
 		case it.Deleted && m.addDeletionTime(it):
 			significant = append(significant, it)
@@ -91,11 +117,12 @@
 			if exists {
 				significant = append(significant, it)
 			}
-		case exists && m.IsSignificant != nil && !m.IsSignificant(old, it):
+		case exists && !ends && m.IsSignificant != nil && !m.IsSignificant(old, it):
 			// The revision of the last significant change stays, so that the
 			// item is not sent to receivers again.
 			insignificant = append(insignificant, it)
 		default:
+			// A change that ends a retention is sent to receivers in any case, as it ends theirs.
 			delete(m.removed, it.Key)
 			m.items[it.Key] = it
 			significant = append(significant, it)
@@ -103,7 +130,7 @@
 	}
 	if b.Full {
 		for key, it := range m.items {
-			if listed[key] || it.Revision > b.Revision {
+			if _, kept := m.retained[key]; kept || listed[key] || it.Revision > b.Revision {
 				continue
 			}
 			m.remove(key, removal{revision: b.Revision, at: confirmed})
@@ -113,6 +140,9 @@
 	if b.Full {
 		m.addGap(gap{m.revision, b.Revision})
 	}
+	if b.Revision > before {
+		significant = append(significant, m.endRetention(b.Revision, time.Now())...)
+	}
 	m.revision = max(m.revision, b.Revision)
 	if confirmed.After(m.confirmedAt) {
 		m.confirmedAt = confirmed
@@ -123,7 +153,7 @@
 		close(m.changed)
 		m.changed = make(chan struct{})
 	}
-	return significant, insignificant
+	return significant, insignificant, nil
 }
 
 // addDeletionTime records the earliest time of a deletion that another source brought
@@ -150,14 +180,14 @@
 
 // needsAll reports whether a receiver with a revision may have keys whose removal is not
 // known here any more.
-func (m *Mirror) needsAll(after uint64) bool {
-	return after == 0 || after < m.forgottenTo || slices.ContainsFunc(m.gaps, func(g gap) bool { return after > g.from && after < g.to })
+func (m *Mirror) needsAll(after Revision) bool {
+	return after == 0 || after.Era() != m.revision.Era() || after < m.forgottenTo || slices.ContainsFunc(m.gaps, func(g gap) bool { return after > g.from && after < g.to })
 }
 
 // Since returns the significant changes after a revision, or all items if
 // removals after it may not be known, and a channel that is closed at the next
 // significant change or confirmation.
-func (m *Mirror) Since(after uint64) (Batch, <-chan struct{}) {
+func (m *Mirror) Since(after Revision) (Batch, <-chan struct{}) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.init()
@@ -179,7 +209,7 @@
 }
 
 // Revision returns the revision of the copy, or 0 if nothing was applied yet.
-func (m *Mirror) Revision() uint64 {
+func (m *Mirror) Revision() Revision {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.revision
@@ -188,12 +218,12 @@
 // FollowFrom returns the revision from which to follow another copy: that of this one, or an
 // earlier one, so that the other copy can add the times of recent deletions that are not
 // known here.
-func (m *Mirror) FollowFrom(now time.Time) uint64 {
+func (m *Mirror) FollowFrom(now time.Time) Revision {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	from := m.revision
 	for _, r := range m.removed {
-		if r.after.IsZero() && now.Sub(r.at) < deletionTimeWanted && r.revision > m.forgottenTo {
+		if r.after.IsZero() && now.Sub(r.at) < deletionTimeWanted && r.revision > m.forgottenTo && r.revision.Count() > carriedCount {
 			from = min(from, r.revision-1)
 		}
 	}
@@ -220,7 +250,7 @@
 }
 
 // newestRevision returns the newest applied revision of a key.
-func (m *Mirror) newestRevision(key string) uint64 {
+func (m *Mirror) newestRevision(key string) Revision {
 	return max(m.items[key].Revision, m.removed[key].revision)
 }
 
--- a/toucanstair/toucanmirror/mirror_test.go
+++ b/toucanstair/toucanmirror/mirror_test.go
@@ -14,24 +14,30 @@
 func ExampleMirror() {
 	var m toucanmirror.Mirror
 	now := time.Now()
-	m.Apply(toucanmirror.Batch{Items: []toucanmirror.Item{{Key: "a", Revision: 5}}, Full: true, Revision: 7}, now)
+	_, _, _ = m.Apply(toucanmirror.Batch{Items: []toucanmirror.Item{{Key: "a", Revision: 5}}, Full: true, Revision: 7}, now)
 	old := toucanmirror.Batch{Items: []toucanmirror.Item{{Key: "a", Revision: 4, Deleted: true}}, Revision: 4}
-	significant, _ := m.Apply(old, now)
+	significant, _, _ := m.Apply(old, now)
 	fmt.Println(len(significant), m.Revision())
 	// Output: 0 7
 }
 
+// apply applies a batch that is of the era of the mirror.
+func apply(t require.TestingT, m *toucanmirror.Mirror, b toucanmirror.Batch, confirmed time.Time) {
+	_, _, err := m.Apply(b, confirmed)
+	require.NoError(t, err)
+}
+
 // Guards against a stale full list that restores removed keys, or removes keys
 // that were added after it.
 func TestStaleListDoesNotRevertNewerChanges(t *testing.T) {
 	var m toucanmirror.Mirror
 	now := time.Now()
-	m.Apply(toucanmirror.Batch{Items: []toucanmirror.Item{{Key: "kept", Revision: 3}, {Key: "left", Revision: 4}}, Full: true, Revision: 5}, now)
-	m.Apply(toucanmirror.Batch{Items: []toucanmirror.Item{{Key: "left", Revision: 6, Deleted: true}, {Key: "new", Revision: 7}}, Revision: 7}, now)
+	apply(t, &m, toucanmirror.Batch{Items: []toucanmirror.Item{{Key: "kept", Revision: 3}, {Key: "left", Revision: 4}}, Full: true, Revision: 5}, now)
+	apply(t, &m, toucanmirror.Batch{Items: []toucanmirror.Item{{Key: "left", Revision: 6, Deleted: true}, {Key: "new", Revision: 7}}, Revision: 7}, now)
 	stale := toucanmirror.Batch{Items: []toucanmirror.Item{{Key: "kept", Revision: 3}, {Key: "left", Revision: 4}}, Full: true, Revision: 5}
-	significant, _ := m.Apply(stale, now)
+	significant, _, _ := m.Apply(stale, now)
 	require.Empty(t, significant)
-	require.Equal(t, uint64(7), m.Revision())
+	require.Equal(t, toucanmirror.Revision(7), m.Revision())
 	b, _ := m.Since(0)
 	require.Len(t, b.Items, 2)
 }
@@ -40,7 +46,7 @@
 // it is behind the first full list of the sender.
 func TestReceiverBehindFirstListGetsFullCopy(t *testing.T) {
 	var m toucanmirror.Mirror
-	m.Apply(toucanmirror.Batch{Items: []toucanmirror.Item{{Key: "a", Revision: 90}}, Full: true, Revision: 100}, time.Now())
+	apply(t, &m, toucanmirror.Batch{Items: []toucanmirror.Item{{Key: "a", Revision: 90}}, Full: true, Revision: 100}, time.Now())
 	behind, _ := m.Since(99)
 	require.True(t, behind.Full)
 	upToDate, _ := m.Since(100)
@@ -52,13 +58,13 @@
 func TestInsignificantChangesAreNotRelayed(t *testing.T) {
 	m := toucanmirror.Mirror{IsSignificant: func(old, item toucanmirror.Item) bool { return string(old.Value) != string(item.Value) }}
 	now := time.Now()
-	m.Apply(toucanmirror.Batch{Items: []toucanmirror.Item{{Key: "a", Revision: 1, Value: []byte("x")}}, Full: true, Revision: 1}, now)
-	significant, insignificant := m.Apply(toucanmirror.Batch{Items: []toucanmirror.Item{{Key: "a", Revision: 2, Value: []byte("x")}}, Revision: 2}, now)
+	apply(t, &m, toucanmirror.Batch{Items: []toucanmirror.Item{{Key: "a", Revision: 1, Value: []byte("x")}}, Full: true, Revision: 1}, now)
+	significant, insignificant, _ := m.Apply(toucanmirror.Batch{Items: []toucanmirror.Item{{Key: "a", Revision: 2, Value: []byte("x")}}, Revision: 2}, now)
 	require.Empty(t, significant)
 	require.Len(t, insignificant, 1)
 	b, _ := m.Since(1)
 	require.Empty(t, b.Items)
-	require.Equal(t, uint64(2), b.Revision)
+	require.Equal(t, toucanmirror.Revision(2), b.Revision)
 }
 
 // Guards against copies that diverge from the store after batches and full
@@ -68,7 +74,7 @@
 		keys := []string{"a", "b", "c", "d"}
 		store := map[string]toucanmirror.Item{}
 		var log []toucanmirror.Item
-		revision := uint64(0)
+		revision := toucanmirror.Revision(0)
 		var first, second toucanmirror.Mirror
 		now := time.Now()
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
@@ -88,18 +94,18 @@
 				}
 				log = append(log, it)
 			case 2:
-				first.Apply(watch(log, first.Revision(), revision), now)
+				apply(t, &first, watch(log, first.Revision(), revision), now)
 			case 3:
-				first.Apply(list(store, revision), now)
+				apply(t, &first, list(store, revision), now)
 			case 4:
 				b, _ := first.Since(second.Revision())
-				second.Apply(b, now)
+				apply(t, &second, b, now)
 			}
 			now = now.Add(rapid.SampledFrom([]time.Duration{0, time.Second, 2 * time.Minute}).Draw(t, "passed"))
 		}
-		first.Apply(list(store, revision), now)
+		apply(t, &first, list(store, revision), now)
 		b, _ := first.Since(second.Revision())
-		second.Apply(b, now)
+		apply(t, &second, b, now)
 		for _, m := range []*toucanmirror.Mirror{&first, &second} {
 			all, _ := m.Since(0)
 			got := map[string]toucanmirror.Item{}
@@ -111,7 +117,7 @@
 	})
 }
 
-func list(store map[string]toucanmirror.Item, revision uint64) toucanmirror.Batch {
+func list(store map[string]toucanmirror.Item, revision toucanmirror.Revision) toucanmirror.Batch {
 	b := toucanmirror.Batch{Full: true, Revision: revision}
 	for _, it := range store {
 		b.Items = append(b.Items, it)
@@ -119,7 +125,7 @@
 	return b
 }
 
-func watch(log []toucanmirror.Item, after, revision uint64) toucanmirror.Batch {
+func watch(log []toucanmirror.Item, after, revision toucanmirror.Revision) toucanmirror.Batch {
 	b := toucanmirror.Batch{Revision: revision}
 	for _, it := range log {
 		if it.Revision > after {
@@ -135,9 +141,9 @@
 func TestListNeedsFullCopyOnlyWhereChangesAreUnknown(t *testing.T) {
 	var m toucanmirror.Mirror
 	now := time.Now()
-	m.Apply(toucanmirror.Batch{Items: []toucanmirror.Item{{Key: "a", Revision: 5}, {Key: "b", Revision: 7}}, Full: true, Revision: 10}, now)
-	m.Apply(toucanmirror.Batch{Items: []toucanmirror.Item{{Key: "a", Revision: 5}, {Key: "c", Revision: 18}}, Full: true, Revision: 20}, now)
-	for after, full := range map[uint64]bool{0: true, 9: true, 10: false, 11: true, 19: true, 20: false, 25: false} {
+	apply(t, &m, toucanmirror.Batch{Items: []toucanmirror.Item{{Key: "a", Revision: 5}, {Key: "b", Revision: 7}}, Full: true, Revision: 10}, now)
+	apply(t, &m, toucanmirror.Batch{Items: []toucanmirror.Item{{Key: "a", Revision: 5}, {Key: "c", Revision: 18}}, Full: true, Revision: 20}, now)
+	for after, full := range map[toucanmirror.Revision]bool{0: true, 9: true, 10: false, 11: true, 19: true, 20: false, 25: false} {
 		b, _ := m.Since(after)
 		require.Equal(t, full, b.Full, "after %d", after)
 	}
@@ -150,20 +156,20 @@
 func TestTimeOfRemovalIsAddedByLaterSource(t *testing.T) {
 	var m toucanmirror.Mirror
 	now := time.Now()
-	m.Apply(toucanmirror.Batch{Items: []toucanmirror.Item{{Key: "a", Revision: 3}, {Key: "b", Revision: 4}}, Full: true, Revision: 5}, now)
-	require.Equal(t, uint64(5), m.FollowFrom(now))
-	m.Apply(toucanmirror.Batch{Items: []toucanmirror.Item{{Key: "a", Revision: 7, Deleted: true}, {Key: "c", Revision: 9}}, Revision: 9}, now)
-	require.Equal(t, uint64(6), m.FollowFrom(now), "the other copy has to send the removal")
-	require.Equal(t, uint64(9), m.FollowFrom(now.Add(time.Minute)))
+	apply(t, &m, toucanmirror.Batch{Items: []toucanmirror.Item{{Key: "a", Revision: 3}, {Key: "b", Revision: 4}}, Full: true, Revision: 5}, now)
+	require.Equal(t, toucanmirror.Revision(5), m.FollowFrom(now))
+	apply(t, &m, toucanmirror.Batch{Items: []toucanmirror.Item{{Key: "a", Revision: 7, Deleted: true}, {Key: "c", Revision: 9}}, Revision: 9}, now)
+	require.Equal(t, toucanmirror.Revision(6), m.FollowFrom(now), "the other copy has to send the removal")
+	require.Equal(t, toucanmirror.Revision(9), m.FollowFrom(now.Add(time.Minute)))
 	timed := toucanmirror.Item{Key: "a", Revision: 7, Deleted: true, DeletedAfter: now.Add(-time.Second)}
-	significant, _ := m.Apply(toucanmirror.Batch{Items: []toucanmirror.Item{timed}, Revision: 9}, now)
+	significant, _, _ := m.Apply(toucanmirror.Batch{Items: []toucanmirror.Item{timed}, Revision: 9}, now)
 	require.Equal(t, []toucanmirror.Item{timed}, significant)
-	require.Equal(t, uint64(9), m.FollowFrom(now))
+	require.Equal(t, toucanmirror.Revision(9), m.FollowFrom(now))
 	b, _ := m.Since(9)
 	require.Equal(t, []toucanmirror.Item{timed}, b.Items, "a receiver may know the removal without its time")
-	significant, _ = m.Apply(toucanmirror.Batch{Items: []toucanmirror.Item{timed}, Revision: 9}, now)
+	significant, _, _ = m.Apply(toucanmirror.Batch{Items: []toucanmirror.Item{timed}, Revision: 9}, now)
 	require.Empty(t, significant)
-	m.Apply(toucanmirror.Batch{Items: []toucanmirror.Item{{Key: "a", Revision: 12}}, Revision: 12}, now)
-	significant, _ = m.Apply(toucanmirror.Batch{Items: []toucanmirror.Item{timed}, Revision: 12}, now)
+	apply(t, &m, toucanmirror.Batch{Items: []toucanmirror.Item{{Key: "a", Revision: 12}}, Revision: 12}, now)
+	significant, _, _ = m.Apply(toucanmirror.Batch{Items: []toucanmirror.Item{timed}, Revision: 12}, now)
 	require.Empty(t, significant, "the key was written again")
 }
--- a/toucanstair/toucanrollout/manager.go
+++ b/toucanstair/toucanrollout/manager.go
@@ -119,13 +119,19 @@
 }
 
 // AddOrder starts a rollout at now. An order that is not newer than the current one of
-// its service is ignored.
+// its service is ignored, and one that was written again goes on as it was.
 func (mgr *Manager) AddOrder(o Order, now time.Time) {
 	mgr.init()
 	mgr.mu.Lock()
 	defer mgr.mu.Unlock()
-	if old := mgr.orders[o.Service]; old != nil && old.Number >= o.Number {
-		return
+	if old := mgr.orders[o.Service]; old != nil {
+		if !o.isNewerThan(old.Order) {
+			return
+		}
+		if o.isRepeated(old.Order) {
+			mgr.renumber(old, o)
+			return
+		}
 	}
 	mgr.orders[o.Service] = &rollout{o, now.Add(o.TimeLimit), &exposure{}}
 	if back := mgr.lastRolledBack(o.Service); back.Version == o.Version && back.Number < o.Number {
@@ -136,6 +142,21 @@
 		zap.Duration("within", o.TimeLimit), zap.Uint64("revision", o.Number))
 }
 
+// renumber goes on with a rollout whose order was written again under another number; the
+// caller holds mu. The store may have lost its state with the order, so that a leader
+// writes it again.
+func (mgr *Manager) renumber(ro *rollout, o Order) {
+	if back := mgr.lastRolledBack(o.Service); back.Version == o.Version && back.Number == ro.Number {
+		back.Number = o.Number
+		mgr.setRolledBack(o.Service, back)
+	}
+	mgr.canary.Rename(ro.name(), o.name(), mgr.isLeader())
+	mgr.orders[o.Service] = &rollout{o, ro.deadline, ro.exposure}
+	mgr.rebuildCatalog()
+	mgr.Log.Info("order written again", zap.String("service", string(o.Service)), zap.String("to", o.Version),
+		zap.Uint64("before", ro.Number), zap.Uint64("revision", o.Number), zap.Stringer("era", o.Era))
+}
+
 // RemoveOrder ends the rollout of a service whose order was withdrawn. A version that
 // was rolled back still gets no requests.
 func (mgr *Manager) RemoveOrder(s toucanservice.Name) {
@@ -163,12 +184,15 @@
 	if s.Phase == toucanpb.MoveState_PHASE_BACK && s.Number >= mgr.lastRolledBack(s.Service).Number && (ro == nil || ro.Number <= s.Number) {
 		mgr.setRolledBack(s.Service, s)
 	}
-	if ro != nil && ro.Number == s.Number && s.Deadline.Before(ro.deadline) {
+	other := ro != nil && ro.Number == s.Number && ro.Version != s.Version // its number was used again
+	if ro != nil && ro.Number == s.Number && !other && s.Deadline.Before(ro.deadline) {
 		mgr.orders[s.Service] = &rollout{ro.Order, s.Deadline, ro.exposure}
 		mgr.rebuildCatalog()
 	}
 	mgr.mu.Unlock()
-	mgr.canary.Accept(nil, &toucanpb.Gossip{Moves: []*toucanpb.MoveState{s.message()}})
+	if !other {
+		mgr.canary.Accept(nil, &toucanpb.Gossip{Moves: []*toucanpb.MoveState{s.message()}})
+	}
 }
 
 // lastRolledBack returns the last rollout of a service that was rolled back, or the
--- a/toucanstair/toucanrollout/state.go
+++ b/toucanstair/toucanrollout/state.go
@@ -8,6 +8,7 @@
 
 	"toucanstair.example/core/toucanpb"
 	"toucanstair.example/core/toucanservice"
+	"toucanstair.example/toucanstair/toucanmirror"
 )
 
 // StateKeyPrefix precedes the name of the service in the key of a rollout's state.
@@ -18,7 +19,20 @@
 	Service   toucanservice.Name
 	Version   string
 	TimeLimit time.Duration // from the moment when this host sees the order
-	Number    uint64        // increases with each order of the service
+	Number    uint64        // increases with each order of the service within an era of the store
+	Era       toucanmirror.Era
+}
+
+// isNewerThan reports whether the order was written, or written again, after another one
+// of its service.
+func (o Order) isNewerThan(other Order) bool {
+	return o.Era > other.Era || o.Era == other.Era && o.Number > other.Number
+}
+
+// isRepeated reports whether the order is another one that was written again, after the
+// store had come back from an earlier copy.
+func (o Order) isRepeated(other Order) bool {
+	return o.Era > other.Era && o.Version == other.Version && o.TimeLimit == other.TimeLimit
 }
 
 // name returns the name of the order's move, unique among all orders.
@@ -68,5 +82,5 @@
 // message returns the state as sent in heartbeats.
 func (s State) message() *toucanpb.MoveState {
 	name := Order{Service: s.Service, Number: s.Number}.name()
-	return &toucanpb.MoveState{Name: name, Phase: s.Phase, Stage: s.Stage, Reason: s.Reason}
+	return &toucanpb.MoveState{Name: name, To: s.Version, Phase: s.Phase, Stage: s.Stage, Reason: s.Reason}
 }
--- a/toucanstair/toucanrollout/statestore.go
+++ b/toucanstair/toucanrollout/statestore.go
@@ -44,7 +44,7 @@
 	}
 	e := &toucanpb.Entry{Key: key, Revision: revision}
 	stored := DecodeState(stateKey(ro.Service), value)
-	if stored == nil || stored.Number != ro.Number {
+	if stored == nil || stored.Number != ro.Number || stored.Version != ro.Version {
 		return e, nil
 	}
 	s.mgr.ApplyStoredState(*stored)
