Pass on no promise of a target that its request may disprove

Cause: respond passed on each signed failure of a target and classify took a signed 408 or 429 for definitive; neither asked what the status tells the caller, or whether the request may run again.

Change: a failure with 408, 421, 429 or 503 that does not say "not run" is answered with 502 of the host, without the signature, where the request may run once at most.

Why it works: 502 promises nothing, and without a signature it is no answer of the replica with another status (MIXED).

--- a/toucanstair/toucanforward/forwarder_test.go
+++ b/toucanstair/toucanforward/forwarder_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -106,7 +107,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		behaviors := []behavior{
 			{}, {delay: 20 * time.Millisecond}, {delay: 300 * time.Millisecond}, neverResponds(), {refuse: true},
-			{status: 500}, {unsigned: true}, {status: 421}, {errorKind: kindPtr(toucantransport.MaybeExecuted)},
+			{status: 500}, {unsigned: true}, {status: 421}, {status: 408}, {status: 429}, {status: 503}, {errorKind: kindPtr(toucantransport.MaybeExecuted)},
 			{errorKind: kindPtr(toucantransport.Unreachable)}, {errorKind: kindPtr(toucantransport.ConnectionLimitReached)}, {header: map[string]string{"Content-Encoding": "gzip"}},
 		}
 		choices := rapid.SliceOfN(rapid.IntRange(0, len(behaviors)-1), 64, 64).Draw(rt, "behaviors")
@@ -143,8 +144,8 @@
 					runs += n
 				}
 				require.LessOrEqual(rt, runs, 1)
-				if w.Code == http.StatusServiceUnavailable {
-					require.Zero(rt, runs)
+				if slices.Contains([]int{408, 421, 429, 503}, w.Code) {
+					require.Zero(rt, runs, "status %d promises that the request has not run", w.Code)
 				}
 			}
 			if w.Code == http.StatusOK && shards > 0 {
--- a/toucanstair/toucanforward/leg.go
+++ b/toucanstair/toucanforward/leg.go
@@ -325,15 +325,15 @@
 
 const (
 	success    resultClass = iota // a usable response
-	definitive                    // another signed response, 3xx or 4xx; passed on unless the route fans out
+	definitive                    // another signed response, 3xx or 4xx, that promises nothing; passed on unless the route fans out
 	failed                        // it ran or may have run, without success
 	notRun                        // the target did not run it
 	unsent                        // it reached no target
 )
 
-// classify returns the class of a result. A response without a signature or a 2xx
-// response with a Content-Encoding counts as a failure, unless it says that the
-// request did not run.
+// classify returns the class of a result. A response without a signature, a 2xx response
+// with a Content-Encoding, or one with a status by which a caller is told that its request
+// has not run counts as a failure, unless the target itself says that it did not run it.
 func (f *Forwarder) classify(result attemptResult) resultClass {
 	if result.err != nil {
 		if result.err.Kind == toucantransport.MaybeExecuted {
@@ -351,7 +351,7 @@
 			return success
 		}
 		return failed
-	case res.Status >= 500 || !signed:
+	case res.Status >= 500 || !signed || promisesNotRun(res.Status):
 		return failed
 	}
 	return definitive
--- a/toucanstair/toucanforward/response.go
+++ b/toucanstair/toucanforward/response.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"toucanstair.example/core/toucanreplica"
 	"toucanstair.example/toucanstair/toucangather"
 	"toucanstair.example/toucanstair/toucanrecord"
@@ -44,10 +46,11 @@
 
 // respond writes the response, or an error that says whether the request may
 // have run. On a route that does not fan out, the last signed error response of a
-// target is passed through.
+// target is passed through, unless it would promise what may not be true.
 func (d *dispatch) respond(w http.ResponseWriter) {
 	log := d.log
 	log.missing = d.tracker.Shards - d.tracker.Received()
+	failure, withheld := d.passableFailure()
 	switch {
 	case d.callerGone:
 		log.status, log.reason = statusCallerGone, "the caller has left"
@@ -58,15 +61,45 @@
 	case !d.mayHaveRun():
 		retryAfter, reason := d.refusalReason()
 		d.f.refuse(w, log, retryAfter, reason)
-	case !d.route.FansOut() && d.legs[0].lastFailure != nil && d.legs[0].lastFailure.Header.Get(d.f.Headers.Signature) != "" && d.legs[0].lastFailure.Status >= 300:
-		d.passThrough(w, d.legs[0].lastFailure, d.legs[0].failedAt)
+	case failure != nil:
+		d.passThrough(w, failure, d.legs[0].failedAt)
 	case d.expired || !time.Now().Before(d.deadline):
 		d.f.fail(w, log, http.StatusGatewayTimeout, "no complete response in time")
+	case withheld:
+		withheldPromises.Inc()
+		d.f.fail(w, log, http.StatusBadGateway, "a target failed with a status that would promise that the request has not run")
 	default:
 		d.f.fail(w, log, http.StatusBadGateway, "too few targets answered")
 	}
 }
 
+// withheldPromises counts failures of targets that were not passed on for their status.
+var withheldPromises = metrics.NewCounter("toucan_forward_withheld_promises_total")
+
+// promisesNotRun reports whether callers take a status for the promise that their request
+// has not run and will not.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// passableFailure returns the last signed failure of a target, or nil if the caller may
+// not get one. withheld says that its status is the reason: a request that may run once at
+// most would be sent again after a promise that it has not run.
+func (d *dispatch) passableFailure() (failure *toucantransport.Response, withheld bool) {
+	res := d.legs[0].lastFailure
+	switch {
+	case d.route.FansOut() || res == nil || res.Header.Get(d.f.Headers.Signature) == "" || res.Status < 300:
+		return nil, false
+	case !d.route.Idempotent && promisesNotRun(res.Status):
+		return nil, true
+	}
+	return res, false
+}
+
 // mayHaveRun reports whether a target may have run the request.
 func (d *dispatch) mayHaveRun() bool {
 	for i := range d.legs {
