--- a/toucanstair/toucanfeed/server.go
+++ b/toucanstair/toucanfeed/server.go
@@ -53,7 +53,7 @@
 	}
 	after, sentDepartures := toucanmirror.Revision(0), uint64(0)
 	if r.GetAfter() > 0 {
-		after = toucanmirror.At(min(era, toucanmirror.MaxEra), min(r.GetAfter(), toucanmirror.MaxCount))
+		after = toucanmirror.At(era, r.GetAfter())
 	}
 	if after.Era() > s.Mirror.Revision().Era() {
 		return status.Error(codes.FailedPrecondition, "the receiver knows a later era of the store")
--- a/toucanstair/toucanmirror/revision.go
+++ b/toucanstair/toucanmirror/revision.go
@@ -20,8 +20,10 @@
 // comes before the count. The zero value is before all changes.
 type Revision uint64
 
-// At returns the revision of a count in an era, which are at most MaxCount and MaxEra.
-func At(era Era, count uint64) Revision { return Revision(uint64(era)<<countBits | count) }
+// At returns the revision of a count in an era. Beyond MaxEra and MaxCount all are alike.
+func At(era Era, count uint64) Revision {
+	return Revision(uint64(min(era, MaxEra))<<countBits | min(count, MaxCount))
+}
 
 // Era returns the era of the revision.
 func (r Revision) Era() Era { return Era(r >> countBits) }
