Take an order for written again within 15 s of an era; tests of broken bodies wait as long as it takes

Cause: an order that had been given twice with the same content comes back from the copy as its first form, and the second one, written again later in the same era, started the rollout anew: a completed version got no requests while its old targets had stopped. Tests of bodies in pieces relied on 20 ms being less than 100 ms on a busy machine.

Change: an order with the content of the one before counts as that one until 15 s after the era began on the host. The wait behind a body is a field that tests set; splice.go has a type for what follows a body, and shorter functions.

--- a/toucanstair/toucanrollout/era_test.go
+++ b/toucanstair/toucanrollout/era_test.go
@@ -145,3 +145,29 @@
 		require.Equal(t, toucanpb.MoveState_PHASE_RUNNING, state.Phase)
 	})
 }
+
+// Guards against a completed rollout that starts anew, because the copy has an earlier order of the same content, and the last one is written again after that.
+func TestOrderThatWasGivenTwiceIsWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(hosts)
+		drillAt, drilled := timeLimit+time.Second, false
+		f.simulate(t, 1, drillAt+drillSpan, healthy, func(at time.Duration) {
+			if at >= drillAt && !drilled {
+				drilled = true
+				for _, number := range []uint64{3, 6} {
+					again := order(number)
+					again.Era = 1
+					for _, manager := range f.managers {
+						manager.AddOrder(again, time.Now())
+					}
+				}
+			}
+			if drilled {
+				for _, manager := range f.managers {
+					require.Equal(t, toucanrollout.VersionChoice{Preferred: "v2"}, manager.ChooseVersion("s", "broad", false))
+				}
+			}
+		})
+		require.Equal(t, toucanrollout.Done, f.store.lastPhase())
+	})
+}
--- a/toucanstair/toucanrollout/manager.go
+++ b/toucanstair/toucanrollout/manager.go
@@ -40,6 +40,9 @@
 	// leaderCount is the number of hosts that advance rollouts. Writes are conditional,
 	// so a second leader does no harm and continues when the first has lost the store.
 	leaderCount = 2
+	// rewriteTime is how long after the store came back from an earlier copy an order may
+	// take to be written again.
+	rewriteTime = 15 * time.Second
 )
 
 // Phase is the phase of a rollout as operators see it.
@@ -104,6 +107,9 @@
 	Order
 	deadline time.Time
 	exposure *exposure
+	// repeatsUntil is until when an order with the same content is the same one, written
+	// again after the store came back from an earlier copy; zero: it did not.
+	repeatsUntil time.Time
 }
 
 func (mgr *Manager) init() {
@@ -128,12 +134,12 @@
 		if !o.isNewerThan(old.Order) {
 			return
 		}
-		if o.isRepeated(old.Order) {
-			mgr.renumber(old, o)
+		if o.hasContentOf(old.Order) && (o.Era > old.Era || now.Before(old.repeatsUntil)) {
+			mgr.renumber(old, o, now)
 			return
 		}
 	}
-	mgr.orders[o.Service] = &rollout{o, now.Add(o.TimeLimit), &exposure{}}
+	mgr.orders[o.Service] = &rollout{Order: o, deadline: now.Add(o.TimeLimit), exposure: &exposure{}}
 	if back := mgr.lastRolledBack(o.Service); back.Version == o.Version && back.Number < o.Number {
 		mgr.setRolledBack(o.Service, State{}) // a new order may try the version again
 	}
@@ -145,13 +151,17 @@
 // renumber goes on with a rollout whose order was written again under another number; the
 // caller holds mu. The store may have lost its state with the order, so that a leader
 // writes it again.
-func (mgr *Manager) renumber(ro *rollout, o Order) {
+func (mgr *Manager) renumber(ro *rollout, o Order, now time.Time) {
 	if back := mgr.lastRolledBack(o.Service); back.Version == o.Version && back.Number == ro.Number {
 		back.Number = o.Number
 		mgr.setRolledBack(o.Service, back)
 	}
 	mgr.canary.Rename(ro.name(), o.name(), mgr.isLeader())
-	mgr.orders[o.Service] = &rollout{o, ro.deadline, ro.exposure}
+	repeatsUntil := ro.repeatsUntil
+	if o.Era > ro.Era {
+		repeatsUntil = now.Add(rewriteTime)
+	}
+	mgr.orders[o.Service] = &rollout{o, ro.deadline, ro.exposure, repeatsUntil}
 	mgr.rebuildCatalog()
 	mgr.Log.Info("order written again", zap.String("service", string(o.Service)), zap.String("to", o.Version),
 		zap.Uint64("before", ro.Number), zap.Uint64("revision", o.Number), zap.Stringer("era", o.Era))
@@ -186,7 +196,7 @@
 	}
 	other := ro != nil && ro.Number == s.Number && ro.Version != s.Version // its number was used again
 	if ro != nil && ro.Number == s.Number && !other && s.Deadline.Before(ro.deadline) {
-		mgr.orders[s.Service] = &rollout{ro.Order, s.Deadline, ro.exposure}
+		mgr.orders[s.Service] = &rollout{ro.Order, s.Deadline, ro.exposure, ro.repeatsUntil}
 		mgr.rebuildCatalog()
 	}
 	mgr.mu.Unlock()
--- a/toucanstair/toucanrollout/state.go
+++ b/toucanstair/toucanrollout/state.go
@@ -29,10 +29,9 @@
 	return o.Era > other.Era || o.Era == other.Era && o.Number > other.Number
 }
 
-// isRepeated reports whether the order is another one that was written again, after the
-// store had come back from an earlier copy.
-func (o Order) isRepeated(other Order) bool {
-	return o.Era > other.Era && o.Version == other.Version && o.TimeLimit == other.TimeLimit
+// hasContentOf reports whether both orders move their service alike.
+func (o Order) hasContentOf(other Order) bool {
+	return o.Version == other.Version && o.TimeLimit == other.TimeLimit
 }
 
 // name returns the name of the order's move, unique among all orders.
--- a/toucanstair/toucantransport/splice.go
+++ b/toucanstair/toucantransport/splice.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"errors"
 	"io"
 	"net/http"
@@ -16,9 +17,9 @@
 )
 
 const (
-	// spliceWait is how long the rest of a response is waited for that may have begun within
-	// a body.
-	spliceWait = 100 * time.Millisecond
+	// defaultSpliceWait is how long the rest of a response is waited for that may have begun
+	// within a body.
+	defaultSpliceWait = 100 * time.Millisecond
 	// firstLetterWait takes its place after a body that ends with the first letter of a
 	// response, which many bodies do.
 	firstLetterWait = time.Millisecond
@@ -75,6 +76,7 @@
 	closes  bool // the response has announced the end of the connection
 	// carried reports whether the connection has carried a request id.
 	carried func(id string) bool
+	wait    time.Duration // for the rest of a response; 0: defaultSpliceWait
 }
 
 // isSpliced reports whether the body that was just read from a connection is spliced. It
@@ -88,99 +90,105 @@
 		return false
 	}
 	if s.framing == byClose {
-		return s.judge(starts, nil, true, true) == spliced
+		return s.judge(starts, sequel{ended: true, closed: true}) == spliced
 	}
 	onlyLetter := len(starts) == 1 && starts[0] == len(s.body)-1
-	began := time.Now()
+	began, waited := time.Now(), false
 	defer func() { _ = c.SetReadDeadline(time.Time{}) }() // fails only on a closed connection
-	for waited, ended, closed := false, false, false; ; {
-		v := s.judge(starts, buffered(c.r), ended, closed)
-		if v != undecided || ended {
+	for next := (sequel{}); ; {
+		next.bytes = buffered(c.r)
+		if v := s.judge(starts, next); v != undecided || next.ended {
 			return v == spliced
 		}
 		if !waited {
 			waited = true
 			spliceWaits.Inc()
 		}
-		wait := spliceWait
-		if onlyLetter && c.r.Buffered() == 0 {
+		wait := cmp.Or(s.wait, defaultSpliceWait)
+		if onlyLetter && len(next.bytes) == 0 {
 			wait = firstLetterWait
 		}
 		_ = c.SetReadDeadline(began.Add(wait))
-		if _, err := c.r.Peek(c.r.Buffered() + 1); err != nil {
-			ended, closed = true, !errors.Is(err, os.ErrDeadlineExceeded)
+		if _, err := c.r.Peek(len(next.bytes) + 1); err != nil {
+			next.ended, next.closed = true, !errors.Is(err, os.ErrDeadlineExceeded)
 		}
 	}
 }
 
-// judge judges a body by the bytes that follow it. ended means that no more of them come,
-// closed that the connection has ended.
-func (s *splice) judge(starts []int, following []byte, ended, closed bool) verdict {
+// sequel is what a connection has sent behind a body.
+type sequel struct {
+	bytes  []byte
+	ended  bool // nothing more comes in time
+	closed bool // the connection has ended
+}
+
+// isCutOff reports whether there are more bytes than are read ahead, or some and then the
+// end of the connection.
+func (q sequel) isCutOff() bool {
+	return len(q.bytes) >= readBufferBytes || len(q.bytes) > 0 && q.closed
+}
+
+// judge judges a body by what follows it.
+func (s *splice) judge(starts []int, next sequel) verdict {
 	v := whole
 	for _, at := range starts {
-		v = max(v, s.judgeStart(at, following, ended, closed))
+		v = max(v, s.judgeStart(at, next))
 	}
 	return v
 }
 
 // judgeStart judges a body by one start of a response within it.
-func (s *splice) judgeStart(at int, following []byte, ended, closed bool) verdict {
+func (s *splice) judgeStart(at int, next sequel) verdict {
 	inside := len(s.body) - at // bytes of the response within the body
-	text := append(bytes.Clone(s.body[at:min(len(s.body), at+maxHeadBytes)]), following...)
+	text := append(bytes.Clone(s.body[at:min(len(s.body), at+maxHeadBytes)]), next.bytes...)
 	n, state := scanHead(text)
-	if state == noHead || n > inside && startsResponse(following) {
+	switch {
+	case state == noHead, n > inside && startsResponse(next.bytes):
 		return whole
-	}
-	if s.isOwn(text[:n]) {
+	case s.isOwn(text[:n]):
 		return spliced
+	case state == cutHead && len(next.bytes) > 0 && next.closed:
+		return whole // the head is never completed
+	case state == cutHead:
+		return s.judgeUnfinished(next)
 	}
-	more := undecided // where the response goes on
-	if len(following) >= readBufferBytes || len(following) > 0 && closed || s.framing == byClose {
-		more = spliced
-	} else if ended {
-		more = whole
-	}
-	if state == cutHead {
-		if len(following) > 0 && closed {
-			return whole // a head is never completed
-		}
-		return more
-	}
-	length, known := s.extent(at, n, following)
+	length, known := s.extent(at, n, next.bytes)
 	switch {
-	case !known && inside-n > maxUnframedBytes:
-		return whole
-	case !known && len(following) == 0 && closed && s.framing == byLength:
-		return s.judgeFit(text[:n], following, ended, closed)
-	case !known:
-		return more
-	case length < 0:
+	case !known && inside-n > maxUnframedBytes, known && length < inside:
 		return whole
-	case length < inside:
-		return whole
-	case length == inside:
-		return s.judgeFit(text[:n], following, ended, closed)
-	}
-	rest := length - inside
-	if len(following) < rest {
-		return more
+	case !known && len(next.bytes) == 0 && next.closed, known && length == inside:
+		return s.judgeFit(text[:n], next)
+	case !known, len(next.bytes) < length-inside:
+		return s.judgeUnfinished(next)
 	}
-	if behind := bytes.TrimLeft(following[rest:], "\r\n"); len(behind) > 0 && !startsResponse(behind) {
+	behind := bytes.TrimLeft(next.bytes[length-inside:], "\r\n")
+	if len(behind) > 0 && !startsResponse(behind) {
 		return whole
 	}
 	return spliced
 }
 
+// judgeUnfinished judges a body by a response in it that is not complete yet.
+func (s *splice) judgeUnfinished(next sequel) verdict {
+	switch {
+	case s.framing == byClose, next.isCutOff():
+		return spliced
+	case next.ended:
+		return whole
+	}
+	return undecided
+}
+
 // judgeFit judges a body that ends with a whole response.
-func (s *splice) judgeFit(head, following []byte, ended, closed bool) verdict {
+func (s *splice) judgeFit(head []byte, next sequel) verdict {
 	switch {
 	case s.framing == byClose, s.isTargets(head):
 		return spliced
-	case len(following) > 0 || s.closes:
+	case len(next.bytes) > 0, s.closes:
 		return whole
-	case closed:
+	case next.closed:
 		return spliced
-	case ended:
+	case next.ended:
 		return whole
 	}
 	return undecided
--- a/toucanstair/toucantransport/transport.go
+++ b/toucanstair/toucantransport/transport.go
@@ -181,7 +181,8 @@
 	// Log gets a line for each response that is skipped; nil means none.
 	Log *zap.Logger
 
-	pools pools
+	pools      pools
+	spliceWait time.Duration // see splice
 }
 
 // Do sends a request and returns its complete response. timeLeft is sent in the Deadline
@@ -300,7 +301,7 @@
 	}
 	skipped, interim := 0, 0
 	for skipped < maxStrayResponses && interim < maxInterimResponses {
-		res, last, err := readNext(c, t.Headers, request, maxBytes)
+		res, last, err := t.readNext(c, request, maxBytes)
 		if err != nil {
 			return nil, false, err
 		}
@@ -349,7 +350,7 @@
 
 // readNext returns the next response, and whether it is the last one of its
 // connection.
-func readNext(c *conn, names Headers, request *http.Request, maxBytes int64) (*Response, bool, error) {
+func (t *Transport) readNext(c *conn, request *http.Request, maxBytes int64) (*Response, bool, error) {
 	c.limit.startHead()
 	res, err := http.ReadResponse(c.r, request)
 	if err != nil {
@@ -364,7 +365,7 @@
 	}
 	c.limit.startBody(maxBytes)
 	body, err := readBody(res, request, maxBytes)
-	rest := splice{names: names, body: body, framing: framingOf(res), closes: res.Close, carried: c.history.carried}
+	rest := splice{names: t.Headers, body: body, framing: framingOf(res), closes: res.Close, carried: c.history.carried, wait: t.spliceWait}
 	if err == nil && (toucanresponse.HoldsStatusLine(res) || rest.isSpliced(c)) {
 		mixedResponses.Inc()
 		err = errMixedResponse
