Find the state of a move through all its earlier names

Cause: an order that is written again twice within half a second got its earlier name resolved before the first new name was in use, and its state was not found: a completed version got no requests.

Change: a name leads to the one before it, and the lookup follows them.

--- a/toucanstair/toucancanary/controller.go
+++ b/toucanstair/toucancanary/controller.go
@@ -270,14 +270,28 @@
 }
 
 func (c *Controller) evaluation(name string) *evaluation {
-	evs := c.evaluations.Load()
-	if evs == nil {
-		return nil
+	if evs := c.evaluations.Load(); evs != nil {
+		return c.find(*evs, name)
 	}
-	if ev := (*evs)[name]; ev != nil {
+	return nil
+}
+
+// find returns the evaluation of a move by its name or one that it had earlier, or nil. The
+// evaluations get the names of the configuration some time after it.
+func (c *Controller) find(evs map[string]*evaluation, name string) *evaluation {
+	if ev := evs[name]; ev != nil {
 		return ev
 	}
-	return (*evs)[c.earlierName(name)]
+	renamed := c.renamed.Load()
+	if renamed == nil {
+		return nil
+	}
+	for range len(*renamed) {
+		if name = (*renamed)[name]; evs[name] != nil {
+			return evs[name]
+		}
+	}
+	return nil
 }
 
 // evaluationOf returns the evaluation of a move, nil if there is none yet. After the store
@@ -312,22 +326,10 @@
 	if old := c.renamed.Load(); old != nil && len(*old) < maxRenamed {
 		maps.Copy(renamed, *old)
 	}
-	if first := renamed[from]; first != "" {
-		delete(renamed, from)
-		from = first
-	}
 	renamed[to] = from
 	c.renamed.Store(&renamed)
 }
 
-// earlierName returns the earlier name of a move, or "".
-func (c *Controller) earlierName(name string) string {
-	if renamed := c.renamed.Load(); renamed != nil {
-		return (*renamed)[name]
-	}
-	return ""
-}
-
 // applyConfig creates, updates and removes evaluations to match the configuration.
 // Only the goroutine of Run calls it.
 func (c *Controller) applyConfig() {
@@ -337,10 +339,7 @@
 	}
 	next := map[string]*evaluation{}
 	for _, m := range c.moves() {
-		ev := old[m.GetName()]
-		if ev == nil {
-			ev = old[c.earlierName(m.GetName())]
-		}
+		ev := c.find(old, m.GetName())
 		if ev == nil || ev.move.Load().GetTo() != m.GetTo() {
 			ev = newEvaluation(m)
 			c.mu.Lock()
