review 12, 13: load both servers alike, so that each run breaks answers off

In one of five runs of case 12 two answers were broken off, and in three of case 13 one: the hosts had turned to the other server after its pauses. Case 12 has no pauses now, and the pauses of case 13 alternate.

--- a/review/standin-3/mixed.go
+++ b/review/standin-3/mixed.go
@@ -22,29 +22,31 @@
 
 	pauseTime     = 150 * time.Millisecond  // of a server, as on the users' sheet
 	pauseInterval = 3600 * time.Millisecond // between two pauses of one server, as there
+	mixedWork     = 20 * time.Millisecond   // on each request
 )
 
-// pausingServer is a server that pauses for pauseTime each pauseInterval. A faulty one
-// breaks off answers within their body and goes on with a second answer to the request
-// before. With cuts it does so to one answer in brokenModulus, and the second answer is
-// broken off in its head, where the connection ends. Otherwise it does so to the answers
-// that it is writing when a pause begins, and the pause falls into the second answer.
+// pausingServer is a server that may be faulty: it breaks off answers within their body and
+// goes on with a second answer to the request before. With cuts it does so to one answer
+// in brokenModulus, and the second answer is broken off in its head, where the connection
+// ends. Without, it pauses for pauseTime each pauseInterval, does so to one of the answers
+// that it works on when a pause begins, and the pause falls into the second answer.
 type pausingServer struct {
 	id, service, zone string
+	offset            time.Duration // of the pauses
 	faulty            bool
 	cuts              bool
 	store             *store
 	log               *record
 
-	address   string
-	born      int64
-	mu        sync.Mutex
-	bodies    map[string]string // by signature: the whole body of each answer
-	nextPause time.Time
-	pausedTo  time.Time
-	stamps    int
-	broken    int
-	started   time.Time
+	address string
+	born    int64
+	mu      sync.Mutex
+	bodies  map[string]string // by signature: the whole body of each answer
+	pause   time.Time         // begin of the last pause
+	pauses  bool              // an answer may be broken off for that pause
+	stamps  int
+	broken  int
+	started time.Time
 }
 
 func (s *pausingServer) start(ctx context.Context) error {
@@ -54,11 +56,13 @@
 	}
 	s.address, s.born, s.bodies = l.Addr().String(), time.Now().UnixMilli(), map[string]string{}
 	s.started = time.Now()
-	s.nextPause = s.started.Add(pauseInterval)
 	go func() {
 		<-ctx.Done()
 		_ = l.Close()
 	}()
+	if !s.cuts {
+		go s.pauseFrom(ctx, s.offset)
+	}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -104,37 +108,32 @@
 	}
 }
 
-// pauseDue reports whether a pause begins now.
-func (s *pausingServer) pauseDue() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if time.Now().Before(s.nextPause) {
-		return false
+// pauseFrom begins the pauses of the server until ctx ends.
+func (s *pausingServer) pauseFrom(ctx context.Context, offset time.Duration) {
+	for sleep(ctx, offset); ctx.Err() == nil; sleep(ctx, pauseTime+pauseInterval) {
+		s.mu.Lock()
+		s.pause, s.pauses = time.Now(), true
+		s.mu.Unlock()
+		s.log.Add(s.id, "pauses for %v", pauseTime)
 	}
-	s.pausedTo = time.Now().Add(pauseTime)
-	s.nextPause = s.pausedTo.Add(pauseInterval)
-	return true
 }
 
 // waitPause waits until the server's pause has ended, if it pauses.
 func (s *pausingServer) waitPause() {
 	s.mu.Lock()
-	end := s.pausedTo
+	end := s.pause.Add(pauseTime)
 	s.mu.Unlock()
 	time.Sleep(time.Until(end))
 }
 
-// breaksOff reports whether the server breaks off the answer that it gives now. paused
-// says that a pause begins.
-func (s *pausingServer) breaksOff(paused bool) bool {
+// breaksOff reports whether the server breaks off an answer on which it works since a time.
+func (s *pausingServer) breaksOff(since time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	breaks := paused
-	if s.cuts {
-		breaks = s.stamps%brokenModulus == 0
-	}
+	breaks := s.cuts && s.stamps%brokenModulus == 0 || s.pauses && s.pause.After(since)
 	breaks = breaks && s.faulty && int(time.Since(s.started)/faultTime)%2 == 1
 	if breaks {
+		s.pauses = false
 		s.broken++
 	}
 	return breaks
@@ -155,15 +154,15 @@
 			_, _ = fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nNot-Executed: 1\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n", id)
 			continue
 		}
-		time.Sleep(3 * time.Millisecond)
 		s.waitPause()
+		since := time.Now()
+		time.Sleep(mixedWork)
 		answer := s.newResponse(id)
 		whole := answer.first + answer.rest + answer.body
-		paused := s.pauseDue()
 		switch {
-		case before == nil || !s.breaksOff(paused):
+		case before == nil || !s.breaksOff(since):
 			s.waitPause()
-			s.log.Add(s.id, "%s answered, stamp %s, pause %v", id, answer.stamp, paused)
+			s.log.Add(s.id, "%s answered, stamp %s", id, answer.stamp)
 			if _, err := io.WriteString(c, whole); err != nil {
 				return
 			}
@@ -213,7 +212,7 @@
 	defer end()
 	var servers []*pausingServer
 	for i, zone := range zones {
-		s := &pausingServer{id: fmt.Sprintf("i-archive-%d", i), service: "archive", zone: zone, faulty: b.trouble && i == 0, cuts: cuts, store: b.store, log: b.log}
+		s := &pausingServer{id: fmt.Sprintf("i-archive-%d", i), service: "archive", zone: zone, faulty: b.trouble && i == 0, cuts: cuts, offset: time.Duration(1+i) * (pauseTime + pauseInterval) / 2, store: b.store, log: b.log}
 		if err := s.start(life); err != nil {
 			return verdict{}, err
 		}
