--- a/toucanstair/toucanforward/leg.go
+++ b/toucanstair/toucanforward/leg.go
@@ -385,8 +385,8 @@
 	f.observeDeparture(t, result.response, now)
 	f.observeRequestedPause(t, result.response, now)
 	if text := result.response.Header.Get(f.Headers.ColdRemaining); text != "" {
-		if ms, err := strconv.ParseInt(text, 10, 32); err == nil {
-			t.SetColdRemaining(now, time.Duration(ms)*time.Millisecond)
+		if ms, err := strconv.ParseFloat(text, 64); err == nil && ms >= 0 {
+			t.SetColdRemaining(now, time.Duration(min(ms, math.MaxInt32)*float64(time.Millisecond)))
 		}
 	}
 	switch f.classify(result) {
--- a/toucanstair/toucanserver/server.go
+++ b/toucanstair/toucanserver/server.go
@@ -98,6 +98,9 @@
 	PeerAddress      string        // "ip:port" for the other hosts; "": none
 	CPUMillis        int           // CPU, in thousandths of a core
 	ReadinessPath    string        // path of the readiness probe
+	// Unusable says which settings could not be used, and what was used instead; nil: all
+	// could.
+	Unusable error
 }
 
 // RetryBudget is the operators' limit on retries and hedges.
@@ -123,9 +126,9 @@
 	Reload func() (Settings, error)
 	Log    *zap.Logger
 
-	draining    atomic.Bool
-	retryLimit  atomic.Pointer[RetryBudget] // as last loaded
-	reloadError string                      // error of the last reload; "": none
+	draining      atomic.Bool
+	retryLimit    atomic.Pointer[RetryBudget] // as last loaded
+	settingsError string                      // what was wrong with the settings when they were last read; "": nothing
 }
 
 // Run serves until a stop signal arrives or ctx ends, then shuts down. It returns
@@ -133,6 +136,7 @@
 // shutdown and of the background tasks.
 func (s *Server) Run(ctx context.Context, signals <-chan os.Signal) error {
 	settings := &s.Settings
+	s.reportSettings("settings that cannot be used were replaced", settings.Unusable, false)
 	s.retryLimit.Store(&settings.RetryBudget)
 	if settings.MemoryLimit > 0 {
 		debug.SetMemoryLimit(int64(runtimeMemoryShare * float64(settings.MemoryLimit)))
@@ -248,27 +252,37 @@
 }
 
 // reload applies the retry budget of the settings. All other settings stay as
-// they were at the start. Invalid settings are logged and change nothing. Without
-// a signal, only changes and new errors are logged.
+// they were at the start. Invalid settings are logged and change nothing; a single
+// setting that cannot be used is logged, and the others apply. Without a signal, only
+// changes and new errors are logged.
 func (s *Server) reload(signalled bool) {
 	if s.Reload == nil {
 		return
 	}
 	settings, err := s.Reload()
 	if err != nil {
-		if signalled || s.reloadError != err.Error() {
-			s.Log.Warn("settings not reloaded, the former ones stay", zap.Bool("signal", signalled), zap.Error(err))
-		}
-		s.reloadError = err.Error()
+		s.reportSettings("settings not reloaded, the former ones stay", err, signalled)
 		return
 	}
-	s.reloadError = ""
+	s.reportSettings("settings that cannot be used were replaced", settings.Unusable, signalled)
 	if old := s.retryLimit.Swap(&settings.RetryBudget); signalled || *old != settings.RetryBudget {
 		s.Log.Info("settings reloaded", zap.Bool("signal", signalled),
 			zap.Float64("ratio", settings.RetryBudget.Ratio), zap.Float64("slack", settings.RetryBudget.Slack))
 	}
 }
 
+// reportSettings logs what is wrong with the settings, if it is new or after a signal.
+func (s *Server) reportSettings(message string, err error, signalled bool) {
+	if err == nil {
+		s.settingsError = ""
+		return
+	}
+	if signalled || s.settingsError != err.Error() {
+		s.Log.Warn(message, zap.Bool("signal", signalled), zap.Error(err))
+	}
+	s.settingsError = err.Error()
+}
+
 // servePeers serves gRPC calls of the other hosts until ctx ends. The channel
 // receives the result of the server.
 func (s *Server) servePeers(ctx context.Context, feed *toucanfeed.Server, gateway *toucanforward.Gateway, rollouts *toucanrollout.Manager) (<-chan error, error) {
--- a/toucanstair/toucanserver/server_test.go
+++ b/toucanstair/toucanserver/server_test.go
@@ -92,3 +92,40 @@
 		require.NoError(t, <-done)
 	})
 }
+
+// Guards against a setting that is replaced without a log line, one that keeps the others
+// from being applied, and a line for it at each reload.
+func TestReplacedSettingIsLoggedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		core, logs := observer.New(zap.InfoLevel)
+		var settings atomic.Pointer[Settings]
+		settings.Store(&Settings{})
+		s := &Server{Log: zap.New(core), Reload: func() (Settings, error) { return *settings.Load(), nil }}
+		s.retryLimit.Store(&RetryBudget{})
+		signals, done := make(chan os.Signal), make(chan error, 1)
+		go func() { done <- s.wait(t.Context(), signals, nil) }()
+
+		changed := RetryBudget{Ratio: 0.1, Slack: 20}
+		unusable := toucanfault.NotRun(toucanpb.Code_CODE_INVALID, "bounds.drain_ms: is not a number; using 3000")
+		settings.Store(&Settings{RetryBudget: changed, Unusable: unusable})
+		<-time.After(3 * reloadInterval)
+		require.Equal(t, changed, *s.retryLimit.Load())
+		warnings := logs.FilterField(zap.Error(unusable))
+		require.Equal(t, 1, warnings.Len())
+		require.Equal(t, zap.WarnLevel, warnings.All()[0].Level)
+
+		logs.TakeAll()
+		signals <- syscall.SIGHUP
+		synctest.Wait()
+		require.Equal(t, 1, logs.FilterField(zap.Error(unusable)).Len(), "an answer to the signal")
+
+		settings.Store(&Settings{RetryBudget: changed})
+		<-time.After(2 * reloadInterval)
+		logs.TakeAll()
+		settings.Store(&Settings{RetryBudget: changed, Unusable: unusable})
+		<-time.After(2 * reloadInterval)
+		require.Equal(t, 1, logs.FilterField(zap.Error(unusable)).Len(), "it is new again")
+		signals <- syscall.SIGTERM
+		require.NoError(t, <-done)
+	})
+}
