Give up responses without a length whose connection broke while the request was being written

What callers saw: 200 with the replica's signature and half of its body, for a long request that the replica answered early, without a length, and then reset.

Cause: Linux reports the error of a socket once. The write that was still pending got it, so that the read returned the end of the stream, which is the end of a body without a length.

Change: at such an end the transport asks for the state of the connection. If only the peer has closed its side, the body is whole. If the connection is dead, the result of the write decides, which comes at once then: EPIPE or a write that had ended means that the peer had closed its side before, anything else that the connection broke within the body. Other systems than Linux tell no state; the write decides there if it fails within 100 ms.

--- a/toucanstair/toucantransport/pool.go
+++ b/toucanstair/toucantransport/pool.go
@@ -62,6 +62,8 @@
 	idleTimeout time.Duration  // after which the target closes an idle connection
 	lastUsed    time.Time
 	history     history
+	// written gets the result of writing the current request once, and keeps it.
+	written chan error
 }
 
 // setIdleTimeout sets the idle timeout from a Keep-Alive header.
--- a/toucanstair/toucantransport/transport.go
+++ b/toucanstair/toucantransport/transport.go
@@ -238,6 +238,7 @@
 func (t *Transport) roundTrip(c *conn, r *Request, timeLeft time.Duration) (*Response, bool, error) {
 	head := t.requestHead(r, timeLeft)
 	written := make(chan error, 1)
+	c.written = written
 	if len(r.Message.Body) < minConcurrentBody {
 		if _, err := c.Write(append(head, r.Message.Body...)); err != nil {
 			return nil, false, err
@@ -365,6 +366,9 @@
 	}
 	c.limit.startBody(maxBytes)
 	body, err := readBody(res, request, maxBytes)
+	if err == nil && endsWithConnection(res, request) {
+		err = c.endError()
+	}
 	rest := splice{names: t.Headers, body: body, framing: framingOf(res), closes: res.Close, carried: c.history.carried, wait: t.spliceWait}
 	if err == nil && (toucanresponse.HoldsStatusLine(res) || rest.isSpliced(c)) {
 		mixedResponses.Inc()
